--- /dev/null
+++ b/connection/fleet/links.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/core"
+	"github.com/rattanway/rattanway/process/dial"
+	"github.com/rattanway/rattanway/process/eventlog"
+)
+
+const (
+	// redialLeast and redialMost bound the pause before an entry instance is
+	// dialled again.
+	redialLeast = 150 * time.Millisecond
+	redialMost  = 1500 * time.Millisecond
+)
+
+// LinksConfig holds what Links need.
+type LinksConfig struct {
+	// Hello introduces the agent.
+	Hello frame.AgentHello
+	// Token authenticates our processes to each other.
+	Token string
+	// Entries are the addresses to begin with.
+	Entries []string
+	// Fleet is told what an entry instance says; nil when it is gone.
+	Fleet func(entry string, f *frame.Fleet)
+	// Log takes a line for each change.
+	Log *eventlog.Logger
+	// Clock gives the time.
+	Clock clockwork.Clock
+}
+
+// Links are the agent's connections to entry instances. They are safe for
+// concurrent use.
+type Links struct {
+	cfg     LinksConfig
+	mu      sync.Mutex
+	state   frame.AgentState
+	changed chan struct{}
+	known   map[string]bool
+	found   chan string
+}
+
+// NewLinks returns Links that connect once they run.
+func NewLinks(cfg LinksConfig) *Links {
+	return &Links{cfg: cfg, changed: make(chan struct{}), known: map[string]bool{}, found: make(chan string, 64)}
+}
+
+// Publish tells all entry instances what the server holds.
+func (l *Links) Publish(s frame.AgentState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = s
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Run keeps the connections until ctx ends.
+func (l *Links) Run(ctx context.Context) error {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for _, addr := range l.cfg.Entries {
+		l.learn(addr)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case addr := <-l.found:
+			all.Go(func() { l.keep(ctx, addr) })
+		}
+	}
+}
+
+// learn begins to dial an entry instance that was not known.
+func (l *Links) learn(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known[addr] {
+		return
+	}
+	select {
+	case l.found <- addr:
+		l.known[addr] = true
+	default:
+	}
+}
+
+// keep dials an entry instance again and again.
+func (l *Links) keep(ctx context.Context, addr string) {
+	pause := redialLeast
+	lost := false
+	for ctx.Err() == nil {
+		start := l.cfg.Clock.Now()
+		err := l.session(ctx, addr)
+		l.cfg.Fleet(addr, nil)
+		if l.cfg.Clock.Since(start) > redialMost {
+			pause, lost = redialLeast, false
+		}
+		if !lost {
+			l.cfg.Log.Fail(eventEntryGone, err, eventlog.Fields{"entry": addr})
+			lost = true
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.cfg.Clock.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, redialMost)
+	}
+}
+
+// session is one connection to an entry instance.
+func (l *Links) session(ctx context.Context, addr string) error {
+	conn, err := frame.Dial(addr, Path, l.cfg.Token, dial.Timeout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if err := conn.Send(frame.KindAgentHello, l.cfg.Hello); err != nil {
+		return err
+	}
+	l.cfg.Log.Event(eventEntry, eventlog.Fields{"entry": addr})
+	ended := make(chan struct{})
+	defer close(ended)
+	go l.tell(conn, ended)
+	for {
+		f, err := conn.Receive(l.cfg.Clock.Now().Add(silentAfter))
+		if err != nil {
+			return err
+		}
+		if f.Kind != frame.KindFleet {
+			continue
+		}
+		var fleet frame.Fleet
+		if err := f.Decode(&fleet); err != nil {
+			return err
+		}
+		for _, other := range fleet.Entries {
+			l.learn(other)
+		}
+		l.cfg.Fleet(addr, &fleet)
+	}
+}
+
+// tell sends the state whenever it changes, and as a heartbeat.
+func (l *Links) tell(conn *frame.Conn, ended <-chan struct{}) {
+	for {
+		l.mu.Lock()
+		state, changed := l.state, l.changed
+		l.mu.Unlock()
+		if err := conn.Send(frame.KindAgentState, state); err != nil {
+			_ = conn.Close()
+			return
+		}
+		select {
+		case <-ended:
+			return
+		case <-changed:
+		case <-l.cfg.Clock.After(heartbeat):
+		}
+	}
+}
+
+// Self returns the instance that introduces the agent.
+func (l *Links) Self() core.Instance { return l.cfg.Hello.Self }
--- a/connection/frame/conn.go
+++ b/connection/frame/conn.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/rattanway/rattanway/core"
+	"github.com/rattanway/rattanway/process/dial"
 )
 
 // bufferBytes is the size of a connection's read and write buffers.
@@ -174,6 +175,7 @@
 // Dial opens a Conn to path at addr ("ip:port") with the peer token.
 func Dial(addr, path, token string, timeout time.Duration) (*Conn, error) {
 	d := websocket.Dialer{
+		NetDialContext:   dial.Context,
 		HandshakeTimeout: timeout,
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
--- a/process/eventlog/eventlog.go
+++ b/process/eventlog/eventlog.go
@@ -59,6 +59,8 @@
 // Logger writes events for one process.
 type Logger struct {
 	entry *logrus.Entry
+	// limits bound the lines; nil for no bound.
+	limits *limits
 }
 
 // New returns a Logger that writes JSON lines to w, each naming the process.
@@ -74,20 +76,33 @@
 func Discard() *Logger { return New(io.Discard, logrus.PanicLevel, "test") }
 
 // With returns a Logger that adds fields to each line.
-func (l *Logger) With(f Fields) *Logger { return &Logger{entry: l.entry.WithFields(f)} }
+func (l *Logger) With(f Fields) *Logger {
+	return &Logger{entry: l.entry.WithFields(f), limits: l.limits}
+}
 
 // Event writes one line for e.
 func (l *Logger) Event(e Event, f Fields) {
-	if !l.entry.Logger.IsLevelEnabled(e.Level) {
-		return
-	}
-	l.entry.WithFields(f).WithField("event", e.Number).Log(e.Level, e.Name)
+	l.write(l.entry, e, f)
 }
 
 // Fail writes one line for e with the error err.
 func (l *Logger) Fail(e Event, err error, f Fields) {
-	if !l.entry.Logger.IsLevelEnabled(e.Level) {
+	l.write(l.entry.WithError(err), e, f)
+}
+
+// write writes a line unless its level or rate leaves it out.
+func (l *Logger) write(entry *logrus.Entry, e Event, f Fields) {
+	if !entry.Logger.IsLevelEnabled(e.Level) {
 		return
 	}
-	l.entry.WithFields(f).WithError(err).WithField("event", e.Number).Log(e.Level, e.Name)
+	if l.limits != nil {
+		leftOut, ok := l.limits.admit(e)
+		if !ok {
+			return
+		}
+		if leftOut > 0 {
+			entry = entry.WithField("leftOut", leftOut)
+		}
+	}
+	entry.WithFields(f).WithField("event", e.Number).Log(e.Level, e.Name)
 }
--- /dev/null
+++ b/request/dispatch/demand.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rattanway/rattanway/version/catalog"
+)
+
+// Demand is a request that needs a server.
+type Demand struct {
+	// ID is the request's id, for log lines.
+	ID string
+	// Service is the service that is to run it.
+	Service string
+	// Model is the model it needs; empty for a plain service.
+	Model string
+	// Version is the version of the weights that it must run on; 0 for any
+	// that is in force.
+	Version int
+	// RouteRegions and AccountRegions restrict where it may run.
+	RouteRegions, AccountRegions []string
+	// Rank orders waiting requests; 0 goes first.
+	Rank int
+	// Arrived is when the request came in, and Deadline when its answer is
+	// due at the latest.
+	Arrived, Deadline time.Time
+	// Objective is the time to the first byte for which it is on time.
+	Objective time.Duration
+	// Prompt and Output are its tokens, as far as they are known.
+	Prompt, Output int
+	// Returned says that the client was refused before and came back.
+	Returned bool
+	// Tried are the servers that are not to get it again.
+	Tried map[string]bool
+}
+
+// Place is a place at a server that a request was given.
+type Place struct {
+	// Server is the server.
+	Server *catalog.Server
+	// Version is the version of the weights that the server is believed to
+	// hold; 0 at a plain service.
+	Version int
+	// Running is the number of requests at the server when it was chosen,
+	// without this one.
+	Running int
+	// Remote says that the server stands in another data centre.
+	Remote bool
+}
--- a/version/spread/client.go
+++ b/version/spread/client.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rattanway/rattanway/core"
+	"github.com/rattanway/rattanway/process/dial"
 )
 
 // Headers between agents.
@@ -37,7 +38,6 @@
 
 // Connection bounds of an agent towards its peers.
 const (
-	dialTimeout      = 2 * time.Second
 	idleTimeout      = 10 * time.Second
 	maxIdlePerPeer   = 4
 	readBufferBytes  = 32 << 10
@@ -54,14 +54,17 @@
 	tierReader tier = iota
 	// tierDataCentre is the owner in a data centre: it asks the region's.
 	tierDataCentre
-	// tierRegion is the owner in a region: it reads the origin.
+	// tierRegion is the owner in a region: it reads the origin, or with
+	// Config.OneOriginCopy asks the owner among all agents.
 	tierRegion
+	// tierFleet is the owner among all agents: it reads the origin.
+	tierFleet
 	// tierHeld gives only what is held or already on its way.
 	tierHeld
 )
 
 var tierNames = map[tier]string{
-	tierReader: "reader", tierDataCentre: "data-centre", tierRegion: "region", tierHeld: "held",
+	tierReader: "reader", tierDataCentre: "data-centre", tierRegion: "region", tierFleet: "fleet", tierHeld: "held",
 }
 
 // parseTier returns the tier that a peer names; tierHeld for any other word.
@@ -71,6 +74,8 @@
 		return tierDataCentre
 	case tierNames[tierRegion]:
 		return tierRegion
+	case tierNames[tierFleet]:
+		return tierFleet
 	}
 	return tierHeld
 }
@@ -119,7 +124,7 @@
 // newClient returns the HTTP client of an agent towards its peers.
 func newClient(idle int) *http.Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial.Context,
 		DisableCompression:  true,
 		MaxIdleConns:        idle,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
--- a/version/spread/fetcher.go
+++ b/version/spread/fetcher.go
@@ -56,6 +56,11 @@
 	// agents together. An agent never draws more than this, and the agents
 	// take turns by it; 0 means no limit and no turns.
 	OriginBytesPerSecond int64
+	// OneOriginCopy lets each chunk be read from the origin once for all
+	// regions, whose owners then ask each other; otherwise each region reads
+	// the origin. It suits an origin that is slower than the links between
+	// regions.
+	OneOriginCopy bool
 	// Parallel is the number of chunks asked of peers at once.
 	Parallel int
 	// OriginParallel is the number of owned chunks fetched at once.
--- a/version/spread/obtain.go
+++ b/version/spread/obtain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"time"
 
@@ -14,8 +13,6 @@
 	"github.com/rattanway/rattanway/version/manifest"
 )
 
-var dialer = &net.Dialer{Timeout: dialTimeout}
-
 const (
 	// corruptTries is how often one owner is asked again after bytes that do
 	// not match the digest.
@@ -102,12 +99,15 @@
 // round asks each source of an object at a tier once: the owners of the scope
 // in hash order; as an owner, the next tier; at the last tier the origin.
 func (s *Swarm) round(ctx context.Context, o object, t tier) ([]byte, error) {
-	if t == tierRegion {
+	if t == tierFleet || t == tierRegion && !s.cfg.OneOriginCopy {
 		return s.fromOrigin(ctx, o)
 	}
 	scope := s.inDataCentre
-	if t == tierDataCentre {
+	switch t {
+	case tierDataCentre:
 		scope = s.inRegion
+	case tierRegion:
+		scope = func(Peer) bool { return true }
 	}
 	owners := s.candidates(o, scope)
 	switch {
