Versions that follow one another are staged and counted apart

Ruled out: rotten pieces (checked before the load). Change: staging and check-to-order exclude each other, an older version gives up; Weights.Required counts each version from its own time; a stop shuts the listener 2.5 s after the signal.

--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -33,10 +33,7 @@
 	patience = 0.11
 	// listenFor is how long new connections are taken after SIGTERM: the
 	// balancer asks once a second and stops after two answers.
-	listenFor = 3200 * time.Millisecond
-	// settleEvery is the time between two looks at the requests that are
-	// still running while the process stops.
-	settleEvery = 50 * time.Millisecond
+	listenFor = 2500 * time.Millisecond
 	// entriesEvery is the pause between two tries to write the own address.
 	entriesEvery = 500 * time.Millisecond
 )
@@ -262,19 +259,11 @@
 	}
 }
 
-// drain ends the process without cutting a request: the balancer is told, new
-// connections are taken until it has heard, and what runs is answered.
+// drain ends the process without cutting a request.
 func (e *entry) drain() {
-	deadline := e.clock.Now().Add(stopGrace(&e.settings))
 	e.stopping.Store(true)
-	e.handler.Drain()
-	e.clock.Sleep(listenFor)
-	for e.handler.Active() > 0 && e.clock.Now().Before(deadline) {
-		e.clock.Sleep(settleEvery)
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := e.clientSrv.Shutdown(ctx); err != nil {
+	err := stopClients(e.clock, e.handler, e.clientSrv, stopGrace(&e.settings))
+	if err != nil {
 		e.log.Fail(eventStopped, err, eventlog.Fields{"running": e.handler.Active()})
 	}
 }
--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -271,11 +271,7 @@
 	if version == 0 || q.Version != 0 && q.Version != version {
 		return 0, false
 	}
-	declared, ok := s.Weights[q.Model]
-	if ok && version < declared.Version && now.Sub(declared.Known) >= d.cfg.WeightsDue {
-		return 0, false
-	}
-	return version, true
+	return version, version >= s.Weights[q.Model].Required(now, d.cfg.WeightsDue)
 }
 
 // running is what all entry instances run at a server; d.mu is held.
--- a/version/catalog/holder.go
+++ b/version/catalog/holder.go
@@ -129,11 +129,20 @@
 	})
 }
 
+// maxBefore is how many earlier versions of a model are remembered; versions
+// are seconds apart at the least and due within seconds.
+const maxBefore = 8
+
 // applyWeights notes declared weights unless they are older.
 func (h *Holder) applyWeights(next *Snapshot, w Weights, now time.Time) {
-	if old, ok := next.Weights[w.Model]; ok && w.Version <= old.Version {
+	old, ok := next.Weights[w.Model]
+	if ok && w.Version <= old.Version {
 		return
 	}
+	if ok {
+		w.Before = append([]Weights{{Model: old.Model, Version: old.Version, Known: old.Known}}, old.Before...)
+		w.Before = w.Before[:min(len(w.Before), maxBefore)]
+	}
 	if w.Known.IsZero() {
 		w.Known = now
 	}
--- a/version/catalog/types.go
+++ b/version/catalog/types.go
@@ -185,4 +185,20 @@
 	// Known is when this process, or the first entry instance that told it,
 	// learned of the version.
 	Known time.Time
+	// Before are the versions that were declared before it, newest first.
+	Before []Weights
+}
+
+// Required returns the oldest version that may still be used at now when each
+// declared version must be in force once it has been known for due.
+func (w Weights) Required(now time.Time, due time.Duration) int {
+	if now.Sub(w.Known) >= due {
+		return w.Version
+	}
+	for _, old := range w.Before {
+		if now.Sub(old.Known) >= due {
+			return old.Version
+		}
+	}
+	return 0
 }
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -73,6 +73,10 @@
 	state     State
 	started   int64
 	seen      bool
+
+	// staging is held while pieces are staged, and from their check until
+	// the order: the server has one place for a model's pieces.
+	staging sync.Mutex
 }
 
 // New returns a Loader.
@@ -323,8 +327,22 @@
 	if _, err := l.cfg.Swarm.Fetch(ctx, digest, sources); err != nil {
 		return err
 	}
+	return l.stage(ctx, w, digests)
+}
+
+// errReplaced says that a newer version is wanted.
+var errReplaced = errors.New("a newer version is wanted")
+
+// stage puts the pieces of a version to the server, unless a newer one is
+// wanted by now.
+func (l *Loader) stage(ctx context.Context, w Wanted, digests []core.Digest) error {
+	l.staging.Lock()
+	defer l.staging.Unlock()
+	if l.wants(w.Model) != w.Version {
+		return errReplaced
+	}
 	for i, d := range digests {
-		piece, ok := store.Get(d)
+		piece, ok := l.cfg.Swarm.Store().Get(d)
 		if !ok {
 			return errors.Errorf("piece %d was dropped", i)
 		}
@@ -335,6 +353,13 @@
 	return nil
 }
 
+// wants returns the version of a model that is wanted now.
+func (l *Loader) wants(model string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.target.Wanted[model].Version
+}
+
 // manifestOf describes the pieces of a version as one file. Every agent builds
 // the same one, so its digest names the version among them.
 func manifestOf(w Wanted, digests []core.Digest) *manifest.Manifest {
@@ -363,7 +388,20 @@
 
 // load checks what is staged and orders the load.
 func (l *Loader) load(ctx context.Context, w Wanted, r Report) error {
-	k := key{w.Model, w.Version}
+	if err := l.order(ctx, w, r); err != nil {
+		return err
+	}
+	l.cfg.Log.Event(eventOrdered, eventlog.Fields{
+		"model": w.Model, "version": w.Version, "held": r.Weights[w.Model], "running": r.Running,
+		"ageMs": l.cfg.Clock.Now().Sub(w.Known).Milliseconds(),
+	})
+	return l.confirm(ctx, key{w.Model, w.Version})
+}
+
+// order checks what is staged and gives the order.
+func (l *Loader) order(ctx context.Context, w Wanted, r Report) error {
+	l.staging.Lock()
+	defer l.staging.Unlock()
 	if err := l.check(ctx, w); err != nil {
 		return err
 	}
@@ -371,15 +409,11 @@
 		l.publish(State{Weights: r.Weights, Loading: true})
 		l.cfg.Clock.Sleep(noticeTime)
 	}
-	if err := l.cfg.Server.Load(ctx, w.Model, w.Version, r.Orders); err != nil {
+	err := l.cfg.Server.Load(ctx, w.Model, w.Version, r.Orders)
+	if err != nil {
 		l.publish(State{Weights: r.Weights})
-		return err
 	}
-	l.cfg.Log.Event(eventOrdered, eventlog.Fields{
-		"model": w.Model, "version": w.Version, "held": r.Weights[w.Model], "running": r.Running,
-		"ageMs": l.cfg.Clock.Now().Sub(w.Known).Milliseconds(),
-	})
-	return l.confirm(ctx, k)
+	return err
 }
 
 // check reads every staged piece back and stages spoilt ones again.
