A version is loaded while the next is on its way; restarted entries learn ages

Entry instances that were killed took declared versions for 4 s old. A stopped entry instance ended as soon as its listener closed. Ruled out: links (the origin had sent 1.9 copies' time before it went down). Change: loading keeps every newer version on its way and orders the newest that is held when its turn comes; turns wait for a newer version when there is time; agents tell their ages; Pieces waits to hear of a version; the process ends when its clients' server has.

--- a/connection/fleet/hub.go
+++ b/connection/fleet/hub.go
@@ -73,6 +73,11 @@
 		return
 	}
 	conn.SetPeer(a.hello.Self.ID)
+	now := h.cfg.Clock.Now()
+	for _, w := range a.hello.Declared {
+		known := now.Add(-time.Duration(w.AgeMs) * time.Millisecond)
+		h.cfg.Holder.Learn(catalog.Weights{Model: w.Model, Version: w.Version, Known: known}, now)
+	}
 	h.join(a)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/connection/fleet/links.go
+++ b/connection/fleet/links.go
@@ -23,8 +23,10 @@
 
 // LinksConfig holds what Links need.
 type LinksConfig struct {
-	// Hello introduces the agent.
+	// Hello introduces the agent; what it has heard of is added.
 	Hello frame.AgentHello
+	// Declared returns the versions that the agent has heard of.
+	Declared func() []frame.WantedWeights
 	// Token authenticates our processes to each other.
 	Token string
 	// Entries are the addresses to begin with.
@@ -125,7 +127,9 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := conn.Send(frame.KindAgentHello, l.cfg.Hello); err != nil {
+	hello := l.cfg.Hello
+	hello.Declared = l.cfg.Declared()
+	if err := conn.Send(frame.KindAgentHello, hello); err != nil {
 		return err
 	}
 	l.cfg.Log.Event(eventEntry, eventlog.Fields{"entry": addr})
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -54,6 +54,8 @@
 	Self core.Instance `cbor:"1,keyasint"`
 	// Server is the address of its model server.
 	Server string `cbor:"2,keyasint"`
+	// Declared are the versions that the agent has heard of, with their ages.
+	Declared []WantedWeights `cbor:"3,keyasint,omitempty"`
 }
 
 // AgentState is what an agent reads from its own model server.
--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -49,6 +49,7 @@
 	pieceRetry    = 100 * time.Millisecond
 	pieceFlight   = 30 * time.Second
 	piecesAtOnce  = 6
+	ownedAtOnce   = 6
 	uploadsAtOnce = 3
 )
 
@@ -96,13 +97,13 @@
 	link := int64(s.Limits.LinkMbps * 1e6 / 8 * linkShare)
 	a.swarm = spread.NewFetcher(spread.Config{
 		Self: self, Token: o.Token, UploadBytesPerSecond: link, OneOriginCopy: true,
-		Parallel: piecesAtOnce, UploadSlots: uploadsAtOnce,
+		Parallel: piecesAtOnce, OriginParallel: ownedAtOnce, UploadSlots: uploadsAtOnce,
 		Wait: pieceWait, AnswerMargin: pieceMargin, Stall: pieceStall, Suspect: peerSuspect,
 		RetryPause: pieceRetry, FlightTimeout: pieceFlight, Metrics: a.registry,
 	}, spread.NewStore(storeBytes), pieces, log, clock)
 	a.links = fleet.NewLinks(fleet.LinksConfig{
 		Hello: frame.AgentHello{Self: self, Server: s.Server}, Token: o.Token,
-		Entries: s.Entries, Fleet: a.hear, Log: log, Clock: clock,
+		Declared: a.declared, Entries: s.Entries, Fleet: a.hear, Log: log, Clock: clock,
 	})
 	a.loader = loading.New(loading.Config{
 		Self: s.Name, Token: o.Token, Server: platform.NewModelServer(s.Server), Origin: origin, Pieces: pieces,
@@ -146,6 +147,19 @@
 	return err
 }
 
+// declared returns the versions that the agent has heard of, with their ages.
+func (a *agent) declared() []frame.WantedWeights {
+	now := a.clock.Now()
+	var all []frame.WantedWeights
+	for _, w := range a.loader.Declared() {
+		all = append(all, frame.WantedWeights{
+			Model: w.Model, Version: w.Version, AgeMs: now.Sub(w.Known).Milliseconds(),
+			Chunks: w.Chunks, ChunkBytes: w.ChunkBytes, Service: a.settings.Service,
+		})
+	}
+	return all
+}
+
 // hear takes in what an entry instance says of the fleet; nil when it is gone.
 func (a *agent) hear(entry string, f *frame.Fleet) {
 	a.mu.Lock()
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -122,7 +122,18 @@
 		return core.Step("listen for clients", e.settings.Listen.Clients, err)
 	}
 	e.clientSrv = e.newClientServer()
-	g.Add(func() error { return served(e.clientSrv.Serve(clients)) }, func(error) { _ = e.clientSrv.Close() })
+	ended := make(chan struct{})
+	g.Add(func() error {
+		err := served(e.clientSrv.Serve(clients))
+		if err == nil {
+			// The listener is closed; what runs is answered before the end.
+			<-ended
+		}
+		return err
+	}, func(error) {
+		close(ended)
+		_ = e.clientSrv.Close()
+	})
 	if err := e.addInternal(&g); err != nil {
 		return err
 	}
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -268,7 +268,7 @@
 	case told:
 		c.Weights.Known = now.Add(-time.Duration(ms) * time.Millisecond)
 	case first:
-		c.Weights.Known = now.Add(-unknownAge)
+		c.Weights.Known, c.Weights.Guessed = now.Add(-unknownAge), true
 	}
 }
 
--- a/version/catalog/holder.go
+++ b/version/catalog/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,6 +153,44 @@
 	})
 }
 
+// Learn takes in since when a version is known elsewhere. It corrects a guess,
+// adds an earlier version, and puts a newer one into force that the store has
+// not told yet.
+func (h *Holder) Learn(w Weights, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := h.copyOf()
+	current, ok := next.Weights[w.Model]
+	switch {
+	case !ok || w.Version > current.Version:
+		h.applyWeights(next, w, now)
+	case w.Version == current.Version && (current.Guessed || w.Known.Before(current.Known)):
+		current.Known, current.Guessed = w.Known, false
+		next.Weights[w.Model] = current
+		h.log.Event(eventWeights, eventlog.Fields{
+			"model": w.Model, "version": w.Version, "ageMs": now.Sub(w.Known).Milliseconds(), "told": true,
+		})
+	case w.Version < current.Version && len(current.Before) < maxBefore:
+		current.Before = addBefore(current.Before, w)
+		next.Weights[w.Model] = current
+	default:
+		return
+	}
+	next.index()
+	h.current.Store(next)
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// addBefore adds an earlier version, newest first, unless it is there.
+func addBefore(before []Weights, w Weights) []Weights {
+	i, found := slices.BinarySearchFunc(before, w.Version, func(o Weights, v int) int { return v - o.Version })
+	if found {
+		return before
+	}
+	return slices.Insert(slices.Clone(before), i, w)
+}
+
 // noteServers logs which servers came, changed their state or went.
 func (h *Holder) noteServers(before, after *Snapshot) {
 	for id, v := range after.Servers {
--- a/version/catalog/types.go
+++ b/version/catalog/types.go
@@ -185,6 +185,9 @@
 	// Known is when this process, or the first entry instance that told it,
 	// learned of the version.
 	Known time.Time
+	// Guessed says that Known is only a guess: the version was declared
+	// before this process started.
+	Guessed bool
 	// Before are the versions that were declared before it, newest first.
 	Before []Weights
 }
--- a/version/catalog/weights_test.go
+++ b/version/catalog/weights_test.go
@@ -25,3 +25,17 @@
 		So(w.Required(start.Add(9*time.Second), due), ShouldEqual, 3)
 	})
 }
+
+func TestStartedAnewLearnsAgesFromOthers(t *testing.T) {
+	Convey("A process that starts after two declarations takes their times from an agent", t, func() {
+		h := NewHolder(eventlog.Discard())
+		now := time.Now()
+		guess := &Weights{Model: "herbs", Version: 3, Known: now.Add(-4 * time.Second), Guessed: true}
+		h.Apply([]Change{{Weights: guess}}, true, false, now)
+		h.Learn(Weights{Model: "herbs", Version: 2, Known: now.Add(-7 * time.Second)}, now)
+		h.Learn(Weights{Model: "herbs", Version: 3, Known: now.Add(-5 * time.Second)}, now)
+		w := h.Current().Weights["herbs"]
+		So(w.Required(now.Add(500*time.Millisecond), 7*time.Second), ShouldEqual, 2)
+		So(w.Required(now.Add(2*time.Second), 7*time.Second), ShouldEqual, 3)
+	})
+}
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -66,17 +66,15 @@
 	changed  chan struct{}
 	digests  map[key][]core.Digest
 	asking   map[key]chan struct{}
-	// ready are the versions that are staged whole, in preparation the one
-	// that is being fetched.
-	ready     map[key]bool
+	// fetched are the versions whose pieces are all held here, preparing
+	// those that are being fetched, and staged the version of each model of
+	// which every piece was put to the server.
+	fetched   map[key]bool
 	preparing map[key]bool
+	staged    map[string]int
 	state     State
 	started   int64
 	seen      bool
-
-	// staging is held while pieces are staged, and from their check until
-	// the order: the server has one place for a model's pieces.
-	staging sync.Mutex
 }
 
 // New returns a Loader.
@@ -86,7 +84,7 @@
 		book:     digestBook{self: cfg.Self, token: cfg.Token, origin: cfg.Origin, client: cfg.Client},
 		declared: map[string]*declaredVersions{}, changed: make(chan struct{}, 1),
 		digests: map[key][]core.Digest{}, asking: map[key]chan struct{}{},
-		ready: map[key]bool{}, preparing: map[key]bool{},
+		fetched: map[key]bool{}, preparing: map[key]bool{}, staged: map[string]int{},
 	}
 }
 
@@ -100,8 +98,7 @@
 			d = &declaredVersions{}
 			l.declared[model] = d
 		}
-		d.add(w)
-		if old, ok := l.target.Wanted[model]; !ok || old.Version != w.Version {
+		if d.add(w) {
 			l.cfg.Log.Event(eventWanted, eventlog.Fields{
 				"model": model, "version": w.Version, "agents": len(t.Agents), "holders": len(t.Holders),
 				"ageMs": l.cfg.Clock.Now().Sub(w.Known).Milliseconds(),
@@ -165,70 +162,90 @@
 	}
 }
 
-// work does what is due for each wanted version and returns the pause to the
-// next look.
+// work does what is due for each model and returns the pause to the next look.
 func (l *Loader) work(ctx context.Context, r Report) time.Duration {
-	l.mu.Lock()
-	target := l.target
-	l.mu.Unlock()
 	pause := pollIdle
-	for model, w := range target.Wanted {
-		k := key{model, w.Version}
-		l.prepare(ctx, w, r.Weights[model] == w.Version)
-		if r.Weights[model] == w.Version || !l.isReady(k) {
-			continue
-		}
-		if r.Busy {
-			pause = pollLoading
-			continue
-		}
-		left := l.turn(w, target, r).Sub(l.cfg.Clock.Now())
-		if left > 0 {
-			pause = min(pause, left)
-			continue
-		}
-		if err := l.load(ctx, w, r); err != nil {
-			l.fail("load", k, err)
-			pause = retryPause
-			continue
-		}
-		pause = pollLoading
+	for model := range l.currentTarget().Wanted {
+		pause = min(pause, l.workOn(ctx, model, r))
 	}
 	return pause
 }
 
-func (l *Loader) isReady(k key) bool {
+// Declared returns every version that this agent has heard of, so that entry
+// instances that start anew learn since when.
+func (l *Loader) Declared() []Wanted {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Wanted
+	for _, d := range l.declared {
+		all = append(all, *d...)
+	}
+	return all
+}
+
+func (l *Loader) currentTarget() Target {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ready[k]
+	return l.target
 }
 
-// turn returns when the server is to change over. A server that holds nothing
-// does so at once, and one whose version was followed by a newer one long ago
-// does not wait for the turn of the newest.
-func (l *Loader) turn(w Wanted, t Target, r Report) time.Time {
-	held := r.Weights[w.Model]
-	if held == 0 {
-		return time.Time{}
+// workOn does what is due for one model.
+func (l *Loader) workOn(ctx context.Context, model string, r Report) time.Duration {
+	held := r.Weights[model]
+	l.mu.Lock()
+	target, pending := l.target, l.declared[model].after(held)
+	l.mu.Unlock()
+	if len(pending) == 0 {
+		l.prepare(ctx, target.Wanted[model], true)
+		return pollIdle
+	}
+	for _, w := range pending {
+		l.prepare(ctx, w, false)
+	}
+	w, ok := l.newestFetched(pending)
+	if !ok {
+		return pollIdle
+	}
+	if err := l.stage(ctx, w); err != nil {
+		l.fail("stage", key{model, w.Version}, err)
+		return retryPause
+	}
+	if r.Busy {
+		return pollLoading
+	}
+	if held > 0 {
+		turn := l.cfg.Turns.Turn(pending, target.Agents, l.cfg.Self)
+		if left := turn.Sub(l.cfg.Clock.Now()); left > 0 {
+			return min(pollIdle, left)
+		}
 	}
-	at := l.cfg.Turns.Turn(w, t.Agents, l.cfg.Self)
+	if err := l.load(ctx, w, r); err != nil {
+		l.fail("load", key{model, w.Version}, err)
+		return retryPause
+	}
+	return pollLoading
+}
+
+// newestFetched returns the newest of some versions of which every piece is
+// held.
+func (l *Loader) newestFetched(pending []Wanted) (Wanted, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if first := l.declared[w.Model].outdated(held); !first.IsZero() {
-		if last := first.Add(l.cfg.Turns.Last); last.Before(at) {
-			return last
+	for i := len(pending) - 1; i >= 0; i-- {
+		if l.fetched[key{pending[i].Model, pending[i].Version}] {
+			return pending[i], true
 		}
 	}
-	return at
+	return Wanted{}, false
 }
 
-// prepare begins to fetch and stage a version; one that the server holds is
-// only read back, so that other agents can have it.
+// prepare begins to fetch a version; one that the server holds is only read
+// back, so that other agents can have it.
 func (l *Loader) prepare(ctx context.Context, w Wanted, held bool) {
 	k := key{w.Model, w.Version}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ready[k] || l.preparing[k] {
+	if l.fetched[k] || l.preparing[k] {
 		return
 	}
 	l.preparing[k] = true
@@ -237,17 +254,15 @@
 		err := l.bring(ctx, w, held)
 		l.mu.Lock()
 		delete(l.preparing, k)
-		if err == nil {
-			l.ready[k] = true
-		}
+		l.fetched[k] = err == nil
 		l.mu.Unlock()
 		if err != nil {
 			if ctx.Err() == nil {
-				l.fail("prepare", k, err)
+				l.fail("fetch", k, err)
 			}
 			return
 		}
-		l.cfg.Log.Event(eventStaged, eventlog.Fields{
+		l.cfg.Log.Event(eventFetched, eventlog.Fields{
 			"model": w.Model, "version": w.Version, "held": held, "ms": l.cfg.Clock.Since(start).Milliseconds(),
 		})
 		select {
@@ -267,8 +282,8 @@
 			return d, nil
 		}
 		target := l.target
-		w, wanted := target.Wanted[k.model]
-		if !wanted || w.Version != k.version {
+		w, wanted := l.find(k)
+		if !wanted {
 			l.mu.Unlock()
 			return nil, errors.New("version is not wanted here")
 		}
@@ -300,7 +315,21 @@
 	}
 }
 
-// bring fetches a version and stages it.
+// find returns a declared version; l.mu is held.
+func (l *Loader) find(k key) (Wanted, bool) {
+	d, ok := l.declared[k.model]
+	if !ok {
+		return Wanted{}, false
+	}
+	for _, w := range *d {
+		if w.Version == k.version {
+			return w, true
+		}
+	}
+	return Wanted{}, false
+}
+
+// bring fetches a version into the store.
 func (l *Loader) bring(ctx context.Context, w Wanted, held bool) error {
 	digests, err := l.digestsFor(ctx, key{w.Model, w.Version})
 	if err != nil {
@@ -312,7 +341,7 @@
 		return err
 	}
 	store := l.cfg.Swarm.Store()
-	store.Retain([]*manifest.Manifest{m})
+	store.Retain(l.retained())
 	if err := store.Put(digest, body); err != nil {
 		return err
 	}
@@ -324,40 +353,70 @@
 		defer l.mu.Unlock()
 		return l.target.sources()
 	}
-	if _, err := l.cfg.Swarm.Fetch(ctx, digest, sources); err != nil {
-		return err
-	}
-	return l.stage(ctx, w, digests)
+	_, err = l.cfg.Swarm.Fetch(ctx, digest, sources)
+	return err
 }
 
-// errReplaced says that a newer version is wanted.
-var errReplaced = errors.New("a newer version is wanted")
+// keptVersions is how many versions of a model are kept: the one that serves,
+// and two that are on their way.
+const keptVersions = 3
 
-// stage puts the pieces of a version to the server, unless a newer one is
-// wanted by now.
-func (l *Loader) stage(ctx context.Context, w Wanted, digests []core.Digest) error {
-	l.staging.Lock()
-	defer l.staging.Unlock()
-	if l.wants(w.Model) != w.Version {
-		return errReplaced
+// retained returns what the store keeps: the newest versions of each model.
+func (l *Loader) retained() []*manifest.Manifest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var keep []*manifest.Manifest
+	for model, d := range l.declared {
+		for i, w := range *d {
+			k := key{model, w.Version}
+			if i < len(*d)-keptVersions {
+				delete(l.fetched, k)
+				continue
+			}
+			if digests, ok := l.digests[k]; ok {
+				keep = append(keep, manifestOf(w, digests))
+			}
+		}
 	}
+	return keep
+}
+
+// stage puts the pieces of a version to the server, unless it was done before.
+func (l *Loader) stage(ctx context.Context, w Wanted) error {
+	l.mu.Lock()
+	digests, done := l.digests[key{w.Model, w.Version}], l.staged[w.Model] == w.Version
+	delete(l.staged, w.Model)
+	l.mu.Unlock()
+	start := l.cfg.Clock.Now()
 	for i, d := range digests {
+		if done {
+			break
+		}
 		piece, ok := l.cfg.Swarm.Store().Get(d)
 		if !ok {
-			return errors.Errorf("piece %d was dropped", i)
+			return l.missing(w, i)
 		}
 		if err := l.cfg.Server.Stage(ctx, w.Model, i, piece); err != nil {
 			return err
 		}
 	}
+	l.mu.Lock()
+	l.staged[w.Model] = w.Version
+	l.mu.Unlock()
+	if !done {
+		l.cfg.Log.Event(eventStaged, eventlog.Fields{
+			"model": w.Model, "version": w.Version, "ms": l.cfg.Clock.Since(start).Milliseconds(),
+		})
+	}
 	return nil
 }
 
-// wants returns the version of a model that is wanted now.
-func (l *Loader) wants(model string) int {
+// missing notes that a version must be fetched again.
+func (l *Loader) missing(w Wanted, piece int) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.target.Wanted[model].Version
+	delete(l.fetched, key{w.Model, w.Version})
+	return errors.Errorf("piece %d is not held", piece)
 }
 
 // manifestOf describes the pieces of a version as one file. Every agent builds
@@ -385,86 +444,3 @@
 	}
 	return nil
 }
-
-// load checks what is staged and orders the load.
-func (l *Loader) load(ctx context.Context, w Wanted, r Report) error {
-	if err := l.order(ctx, w, r); err != nil {
-		return err
-	}
-	l.cfg.Log.Event(eventOrdered, eventlog.Fields{
-		"model": w.Model, "version": w.Version, "held": r.Weights[w.Model], "running": r.Running,
-		"ageMs": l.cfg.Clock.Now().Sub(w.Known).Milliseconds(),
-	})
-	return l.confirm(ctx, key{w.Model, w.Version})
-}
-
-// order checks what is staged and gives the order.
-func (l *Loader) order(ctx context.Context, w Wanted, r Report) error {
-	l.staging.Lock()
-	defer l.staging.Unlock()
-	if err := l.check(ctx, w); err != nil {
-		return err
-	}
-	if len(r.Weights) > 0 {
-		l.publish(State{Weights: r.Weights, Loading: true})
-		l.cfg.Clock.Sleep(noticeTime)
-	}
-	err := l.cfg.Server.Load(ctx, w.Model, w.Version, r.Orders)
-	if err != nil {
-		l.publish(State{Weights: r.Weights})
-	}
-	return err
-}
-
-// check reads every staged piece back and stages spoilt ones again.
-func (l *Loader) check(ctx context.Context, w Wanted) error {
-	l.mu.Lock()
-	digests := l.digests[key{w.Model, w.Version}]
-	l.mu.Unlock()
-	for i, d := range digests {
-		piece, err := l.cfg.Server.Staged(ctx, w.Model, i)
-		if err == nil && d.Matches(piece) {
-			continue
-		}
-		l.cfg.Log.Event(eventRotten, eventlog.Fields{"model": w.Model, "version": w.Version, "piece": i})
-		body, ok := l.cfg.Swarm.Store().Get(d)
-		if !ok {
-			l.mu.Lock()
-			delete(l.ready, key{w.Model, w.Version})
-			l.mu.Unlock()
-			return errors.Errorf("piece %d is rotten and not held", i)
-		}
-		if err := l.cfg.Server.Stage(ctx, w.Model, i, body); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// confirm waits until the server reports that it holds the version.
-func (l *Loader) confirm(ctx context.Context, k key) error {
-	start := l.cfg.Clock.Now()
-	for l.cfg.Clock.Since(start) < loadTimeout {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-l.cfg.Clock.After(pollLoading):
-		}
-		r, err := l.cfg.Server.Report(ctx)
-		if err != nil {
-			return err
-		}
-		if r.Weights[k.model] == k.version && !r.Busy {
-			l.cfg.Log.Event(eventLoaded, eventlog.Fields{
-				"model": k.model, "version": k.version, "ms": l.cfg.Clock.Since(start).Milliseconds(),
-			})
-			l.observe(r)
-			return nil
-		}
-		if !r.Busy {
-			l.observe(r)
-			return errors.New("the server does not hold the version after its order")
-		}
-	}
-	return errors.New("the order takes too long")
-}
--- a/version/loading/pieces.go
+++ b/version/loading/pieces.go
@@ -4,12 +4,17 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rattanway/rattanway/core"
 	"github.com/rattanway/rattanway/process/platform"
 	"github.com/rattanway/rattanway/version/manifest"
 )
 
+// learnTime is how long a piece of an unknown version is waited for; agents hear
+// of a version within about 100 ms of each other.
+const learnTime = 800 * time.Millisecond
+
 // Pieces shows the pieces of the origin as objects that are named by their
 // digest, as a swarm reads them. It implements platform.Objects for reading.
 type Pieces struct {
@@ -18,6 +23,8 @@
 	mu    sync.Mutex
 	addr  string
 	named map[string]piece
+	// learned is closed when pieces are added.
+	learned chan struct{}
 }
 
 // piece is where the origin has an object.
@@ -27,7 +34,9 @@
 }
 
 // NewPieces returns an empty view of the origin.
-func NewPieces(origin Origin) *Pieces { return &Pieces{origin: origin, named: map[string]piece{}} }
+func NewPieces(origin Origin) *Pieces {
+	return &Pieces{origin: origin, named: map[string]piece{}, learned: make(chan struct{})}
+}
 
 // Know adds the pieces of a version.
 func (p *Pieces) Know(addr string, k key, digests []core.Digest) {
@@ -37,14 +46,36 @@
 	for i, d := range digests {
 		p.named[manifest.ChunkName(d)] = piece{k, i}
 	}
+	close(p.learned)
+	p.learned = make(chan struct{})
+}
+
+// find returns where the origin has an object. An agent may be asked for a
+// piece of a version of which it is only about to hear, so find waits a while.
+func (p *Pieces) find(ctx context.Context, name string) (addr string, at piece, ok bool) {
+	timer := time.NewTimer(learnTime)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		addr, learned := p.addr, p.learned
+		at, ok = p.named[name]
+		p.mu.Unlock()
+		if ok {
+			return addr, at, true
+		}
+		select {
+		case <-learned:
+		case <-timer.C:
+			return "", at, false
+		case <-ctx.Done():
+			return "", at, false
+		}
+	}
 }
 
 // Get implements platform.Objects; a piece is always read whole.
 func (p *Pieces) Get(ctx context.Context, name string, _, _ int64) ([]byte, error) {
-	p.mu.Lock()
-	at, ok := p.named[name]
-	addr := p.addr
-	p.mu.Unlock()
+	addr, at, ok := p.find(ctx, name)
 	if !ok || addr == "" {
 		return nil, core.Step("find piece", strings.TrimPrefix(name, "chunks/"), platform.ErrNotFound)
 	}
--- a/version/loading/turn.go
+++ b/version/loading/turn.go
@@ -20,19 +20,31 @@
 	First, Last time.Duration
 }
 
-// Turn returns when the server of agent self changes over to a version that
-// has been known since known. The order of the agents is the same everywhere
-// and differs from version to version.
-func (t Turns) Turn(w Wanted, agents []spread.Peer, self string) time.Time {
+// leastWindow is the shortest time in which the servers may change over to a
+// newer version in place of the one whose turn it is; in less, too many of them
+// would load at once.
+const leastWindow = 1500 * time.Millisecond
+
+// Turn returns when the server of agent self is to change over from the version
+// that it holds. declared are the versions that are newer, oldest first. Usually
+// that is its turn for the oldest of them. When a newer one comes soon enough
+// to be loaded in its place, the turns wait for that. The order of the agents is
+// the same everywhere and differs from version to version.
+func (t Turns) Turn(declared []Wanted, agents []spread.Peer, self string) time.Time {
+	oldest, newest := declared[0], declared[len(declared)-1]
+	first, last := oldest.Known.Add(t.First), oldest.Known.Add(t.Last)
+	if later := newest.Known.Add(t.First); later.After(first) && last.Sub(later) >= leastWindow {
+		first = later
+	}
 	before := 0
-	own := rank(w, self)
+	own := rank(oldest, self)
 	for _, a := range agents {
-		if a.ID != self && rank(w, a.ID) < own {
+		if a.ID != self && rank(oldest, a.ID) < own {
 			before++
 		}
 	}
-	step := (t.Last - t.First) / time.Duration(max(1, len(agents)-1))
-	return w.Known.Add(t.First + time.Duration(before)*step)
+	step := last.Sub(first) / time.Duration(max(1, len(agents)-1))
+	return first.Add(time.Duration(before) * step)
 }
 
 // rank orders agents for a version.
@@ -40,31 +52,29 @@
 	return xxhash.Sum64String(w.Model + "/" + strconv.Itoa(w.Version) + "/" + agent)
 }
 
-// declaredVersions remembers since when versions of one model are known.
-type declaredVersions struct {
-	list []Wanted
-}
+// declaredVersions remembers the versions of one model, oldest first.
+type declaredVersions []Wanted
 
-// add notes a version with the earliest time it was heard of.
-func (d *declaredVersions) add(w Wanted) {
-	i := slices.IndexFunc(d.list, func(o Wanted) bool { return o.Version == w.Version })
-	if i < 0 {
-		d.list = append(d.list, w)
-		return
+// add notes a version with the earliest time it was heard of. It reports
+// whether the version was not known.
+func (d *declaredVersions) add(w Wanted) bool {
+	i, found := slices.BinarySearchFunc(*d, w.Version, func(o Wanted, v int) int { return o.Version - v })
+	if !found {
+		*d = slices.Insert(*d, i, w)
+		return true
 	}
-	if w.Known.Before(d.list[i].Known) {
-		d.list[i].Known = w.Known
+	if w.Known.Before((*d)[i].Known) {
+		(*d)[i].Known = w.Known
 	}
+	return false
 }
 
-// outdated returns when a held version was first followed by a newer one; zero
-// when it was not.
-func (d *declaredVersions) outdated(version int) time.Time {
-	var first time.Time
-	for _, w := range d.list {
-		if w.Version > version && (first.IsZero() || w.Known.Before(first)) {
-			first = w.Known
-		}
+// after returns the versions that are newer than a held one. While none is held
+// only the newest counts.
+func (d declaredVersions) after(held int) []Wanted {
+	if held == 0 && len(d) > 0 {
+		return slices.Clone(d[len(d)-1:])
 	}
-	return first
+	i, _ := slices.BinarySearchFunc(d, held+1, func(o Wanted, v int) int { return o.Version - v })
+	return slices.Clone(d[i:])
 }
