Agents read the origin once and at once; ages of versions are exchanged

After a loss of power agents dealt the pieces among those they had heard of so far (1 to 21 of 24) and read 2.6 copies. Ruled out: the origin's link, which was full all the time. Change: the owner in a region reads the origin itself when the fleet's owner fails; a fleet that starts is waited for (200 ms quiet, 0.9 s at most); entry instances tell each other the ages of declared weights. Tests: TestFrozenThroughADeclarationLearnsItsAge.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -61,6 +61,8 @@
 	Self core.Instance
 	// Token authenticates our processes to each other.
 	Token string
+	// Holder gives and takes the ages of declared weights.
+	Holder *catalog.Holder
 	// Declared and Servers follow the tables.
 	Declared, Servers *catalog.Follower
 	// Loads is what is exchanged.
@@ -168,11 +170,17 @@
 			Running: changes(told, x.cfg.Loads.Running()),
 		}
 		now := x.cfg.Clock.Now()
-		if len(l.Running) > 0 || now.Sub(last) >= heartbeat {
+		beat := now.Sub(last) >= heartbeat
+		if beat {
+			l.Weights = x.ages(now)
+		}
+		if len(l.Running) > 0 || beat {
 			if err := conn.Send(frame.KindLoads, l); err != nil {
 				return err
 			}
-			last = now
+			if beat {
+				last = now
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -184,6 +192,30 @@
 	}
 }
 
+// agesWithin is for how long after their declaration the ages of weights are
+// told: an instance that was frozen or cut off learns of them too late.
+const agesWithin = 20 * time.Second
+
+// ages returns the declared weights that became known lately.
+func (x *Exchange) ages(now time.Time) []frame.WantedWeights {
+	var all []frame.WantedWeights
+	for _, w := range x.cfg.Holder.Current().Declared(now, agesWithin) {
+		all = append(all, frame.WantedWeights{
+			Model: w.Model, Version: w.Version, AgeMs: now.Sub(w.Known).Milliseconds(),
+		})
+	}
+	return all
+}
+
+// learn takes in the ages that another instance tells.
+func (x *Exchange) learn(told []frame.WantedWeights) {
+	now := x.cfg.Clock.Now()
+	for _, w := range told {
+		known := now.Add(-time.Duration(w.AgeMs) * time.Millisecond)
+		x.cfg.Holder.Learn(catalog.Weights{Model: w.Model, Version: w.Version, Known: known}, now)
+	}
+}
+
 // changes returns the counts that differ from those told, and notes them.
 func changes(told, now map[string]int) map[string]int {
 	out := map[string]int{}
@@ -264,6 +296,7 @@
 				return err
 			}
 			x.cfg.Loads.PeerLoads(peer, l.Running)
+			x.learn(l.Weights)
 			if err := x.ask(conn, peer, l, behind); err != nil {
 				return err
 			}
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -32,6 +32,8 @@
 	Servers  uint64 `cbor:"2,keyasint"`
 	// Running are the counts that changed since the last message.
 	Running map[string]int `cbor:"3,keyasint,omitempty"`
+	// Declared weights that became known lately, with their ages.
+	Weights []WantedWeights `cbor:"4,keyasint,omitempty"`
 }
 
 // Want asks for tables.
--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -42,8 +42,8 @@
 // Bounds of the swarm on links of a few megabits a second, within a version's
 // time of 8 s.
 const (
-	pieceWait     = 600 * time.Millisecond
-	pieceMargin   = 600 * time.Millisecond
+	pieceWait     = 400 * time.Millisecond
+	pieceMargin   = 400 * time.Millisecond
 	pieceStall    = time.Second
 	peerSuspect   = 2 * time.Second
 	pieceRetry    = 100 * time.Millisecond
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -97,7 +97,7 @@
 		Self: core.Instance{
 			ID: s.Name, Role: core.RoleEntry, Addr: s.Listen.Peers, DataCentre: s.DataCentre, Region: s.Region,
 		},
-		Token: o.Token, Declared: e.declared, Servers: e.servers, Loads: e.desk, Log: log, Clock: clock,
+		Token: o.Token, Holder: e.holder, Declared: e.declared, Servers: e.servers, Loads: e.desk, Log: log, Clock: clock,
 	})
 	e.hub = fleet.NewHub(fleet.HubConfig{
 		Holder: e.holder, Agent: e.desk.Agent, Entries: e.exchange.Known, Log: log, Clock: clock,
--- a/version/catalog/holder.go
+++ b/version/catalog/holder.go
@@ -164,14 +164,13 @@
 	switch {
 	case !ok || w.Version > current.Version:
 		h.applyWeights(next, w, now)
-	case w.Version == current.Version && (current.Guessed || w.Known.Before(current.Known)):
+	case w.Version == current.Version && (current.Guessed || earlier(w, current)):
 		current.Known, current.Guessed = w.Known, false
 		next.Weights[w.Model] = current
 		h.log.Event(eventWeights, eventlog.Fields{
 			"model": w.Model, "version": w.Version, "ageMs": now.Sub(w.Known).Milliseconds(), "told": true,
 		})
-	case w.Version < current.Version && len(current.Before) < maxBefore:
-		current.Before = addBefore(current.Before, w)
+	case w.Version < current.Version && addBefore(&current, w):
 		next.Weights[w.Model] = current
 	default:
 		return
@@ -182,13 +181,30 @@
 	h.changed = make(chan struct{})
 }
 
-// addBefore adds an earlier version, newest first, unless it is there.
-func addBefore(before []Weights, w Weights) []Weights {
-	i, found := slices.BinarySearchFunc(before, w.Version, func(o Weights, v int) int { return v - o.Version })
+// learnTolerance is the difference between two accounts of a version's age that
+// is put down to the time that messages take.
+const learnTolerance = 100 * time.Millisecond
+
+// earlier reports whether a version is told to be known for longer.
+func earlier(told, current Weights) bool {
+	return current.Known.Sub(told.Known) > learnTolerance
+}
+
+// addBefore adds an earlier version, or corrects since when it is known. It
+// reports whether anything changed.
+func addBefore(current *Weights, w Weights) bool {
+	i, found := slices.BinarySearchFunc(current.Before, w.Version, func(o Weights, v int) int { return v - o.Version })
+	if found && !earlier(w, current.Before[i]) || !found && len(current.Before) >= maxBefore {
+		return false
+	}
+	before := slices.Clone(current.Before)
 	if found {
-		return before
+		before[i].Known = w.Known
+	} else {
+		before = slices.Insert(before, i, w)
 	}
-	return slices.Insert(slices.Clone(before), i, w)
+	current.Before = before
+	return true
 }
 
 // noteServers logs which servers came, changed their state or went.
--- a/version/catalog/snapshot.go
+++ b/version/catalog/snapshot.go
@@ -106,6 +106,20 @@
 	return nil
 }
 
+// Declared returns the versions of all models that became known within the
+// last while, oldest and newest alike.
+func (s *Snapshot) Declared(now time.Time, within time.Duration) []Weights {
+	var all []Weights
+	for _, w := range s.Weights {
+		for _, v := range append([]Weights{w}, w.Before...) {
+			if !v.Guessed && now.Sub(v.Known) < within {
+				all = append(all, Weights{Model: v.Model, Version: v.Version, Known: v.Known})
+			}
+		}
+	}
+	return all
+}
+
 // Cold reports whether a server is cold at a time.
 func (v *Server) Cold(now time.Time) bool { return now.Before(v.ColdUntil) }
 
--- a/version/catalog/weights_test.go
+++ b/version/catalog/weights_test.go
@@ -39,3 +39,16 @@
 		So(w.Required(now.Add(2*time.Second), 7*time.Second), ShouldEqual, 3)
 	})
 }
+
+func TestFrozenThroughADeclarationLearnsItsAge(t *testing.T) {
+	Convey("A process that hears of two versions late takes their times from others", t, func() {
+		h := NewHolder(eventlog.Discard())
+		now := time.Now()
+		h.Apply([]Change{{Weights: &Weights{Model: "herbs", Version: 2}}}, false, false, now)
+		h.Apply([]Change{{Weights: &Weights{Model: "herbs", Version: 3}}}, false, false, now)
+		h.Learn(Weights{Model: "herbs", Version: 2, Known: now.Add(-3 * time.Second)}, now)
+		w := h.Current().Weights["herbs"]
+		So(w.Required(now.Add(4*time.Second), 7*time.Second), ShouldEqual, 2)
+		So(w.Required(now.Add(3*time.Second), 7*time.Second), ShouldEqual, 0)
+	})
+}
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -23,6 +23,11 @@
 	pollLoading = 40 * time.Millisecond
 	// noticeTime is left to entry instances to hear that the server loads.
 	noticeTime = 30 * time.Millisecond
+	// settleQuiet is how long the number of agents must have stayed the same
+	// before an agent that has just started fetches, and settleMost the
+	// longest that it waits; agents of one start come within 0.3 s.
+	settleQuiet = 200 * time.Millisecond
+	settleMost  = 900 * time.Millisecond
 	// retryPause is the pause after a failed step.
 	retryPause = 200 * time.Millisecond
 	// loadTimeout is how long an accepted order may take: the longest
@@ -75,6 +80,9 @@
 	state     State
 	started   int64
 	seen      bool
+	// begun is when this agent first heard of a fleet, and grown when the
+	// number of agents last changed.
+	begun, grown time.Time
 }
 
 // New returns a Loader.
@@ -105,6 +113,9 @@
 			})
 		}
 	}
+	if len(t.Agents) != len(l.target.Agents) || l.grown.IsZero() {
+		l.grown = l.cfg.Clock.Now()
+	}
 	l.target = t
 	select {
 	case l.changed <- struct{}{}:
@@ -192,6 +203,9 @@
 // workOn does what is due for one model.
 func (l *Loader) workOn(ctx context.Context, model string, r Report) time.Duration {
 	held := r.Weights[model]
+	if left := l.unsettled(); left > 0 {
+		return left
+	}
 	l.mu.Lock()
 	target, pending := l.target, l.declared[model].after(held)
 	l.mu.Unlock()
@@ -226,6 +240,22 @@
 	return pollLoading
 }
 
+// unsettled answers a fleet that starts all at once, as after a loss of power:
+// pieces are dealt among the agents, so an agent that has just started waits
+// until no more of them appear. It returns how long to wait.
+func (l *Loader) unsettled() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Clock.Now()
+	if l.begun.IsZero() {
+		l.begun = now
+	}
+	if now.Sub(l.begun) >= settleMost {
+		return 0
+	}
+	return settleQuiet - now.Sub(l.grown)
+}
+
 // newestFetched returns the newest of some versions of which every piece is
 // held.
 func (l *Loader) newestFetched(pending []Wanted) (Wanted, bool) {
--- a/version/spread/obtain.go
+++ b/version/spread/obtain.go
@@ -129,6 +129,10 @@
 			return body, nil
 		}
 		last = err
+		if t == tierRegion {
+			// The origin may be gone soon: its owner is not waited for.
+			return s.fromOrigin(ctx, o)
+		}
 	}
 	return nil, last
 }
