--- a/version/loading/pieces.go
+++ b/version/loading/pieces.go
@@ -23,6 +23,8 @@
 	mu    sync.Mutex
 	addr  string
 	named map[string]piece
+	// turn is held while a piece is read.
+	turn chan struct{}
 	// learned is closed when pieces are added.
 	learned chan struct{}
 }
@@ -35,7 +37,7 @@
 
 // NewPieces returns an empty view of the origin.
 func NewPieces(origin Origin) *Pieces {
-	return &Pieces{origin: origin, named: map[string]piece{}, learned: make(chan struct{})}
+	return &Pieces{origin: origin, named: map[string]piece{}, turn: make(chan struct{}, 1), learned: make(chan struct{})}
 }
 
 // Know adds the pieces of a version.
@@ -79,7 +81,32 @@
 	if !ok || addr == "" {
 		return nil, core.Step("find piece", strings.TrimPrefix(name, "chunks/"), platform.ErrNotFound)
 	}
-	return p.origin.Piece(ctx, addr, at.model, at.version, at.number)
+	return p.read(ctx, addr, at)
+}
+
+// originTries is how often a piece is asked for before others are to try: the
+// origin drops connections beyond its limit.
+const originTries = 3
+
+// read reads one piece. An agent reads one at a time: all agents together must
+// stay below the connections that the origin takes, and its link is the limit
+// anyway.
+func (p *Pieces) read(ctx context.Context, addr string, at piece) ([]byte, error) {
+	select {
+	case p.turn <- struct{}{}:
+		defer func() { <-p.turn }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	var last error
+	for range originTries {
+		body, err := p.origin.Piece(ctx, addr, at.model, at.version, at.number)
+		if err == nil || ctx.Err() != nil {
+			return body, err
+		}
+		last = err
+	}
+	return nil, last
 }
 
 // Put implements platform.Objects; the origin is only read.
