Entry instances share free places; quicker recovery of the fleet

Ruled out: wrong ages (logs show the true ones). Change: dispatch.Burst; older weights end 0.9 s before they must; redialling within 0.3 s; a table's revision is that of its newest row; the next owner of a chunk is asked when one fails promptly.

--- a/connection/fleet/links.go
+++ b/connection/fleet/links.go
@@ -16,9 +16,13 @@
 
 const (
 	// redialLeast and redialMost bound the pause before an entry instance is
-	// dialled again.
-	redialLeast = 150 * time.Millisecond
-	redialMost  = 1500 * time.Millisecond
+	// dialled again: after a loss of power every moment without weights
+	// counts, and a refused connection costs little.
+	redialLeast = 80 * time.Millisecond
+	redialMost  = 300 * time.Millisecond
+	// steadyAfter is how long a connection must have lasted for its end to
+	// be logged anew.
+	steadyAfter = 1500 * time.Millisecond
 )
 
 // LinksConfig holds what Links need.
@@ -103,7 +107,7 @@
 		start := l.cfg.Clock.Now()
 		err := l.session(ctx, addr)
 		l.cfg.Fleet(addr, nil)
-		if l.cfg.Clock.Since(start) > redialMost {
+		if l.cfg.Clock.Since(start) > steadyAfter {
 			pause, lost = redialLeast, false
 		}
 		if !lost {
--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -29,12 +29,12 @@
 	storeBytes = 16 << 20
 	// linkShare is the part of the machine's link that weights may use; live
 	// answers pass over the same link.
-	linkShare = 0.85
+	linkShare = 0.95
 	// firstChange and lastMargin place the servers' changes to new weights:
 	// from the age at which pieces have usually arrived to shortly before
 	// older weights are no longer used.
 	firstChange = 2200 * time.Millisecond
-	lastMargin  = 1100 * time.Millisecond
+	lastMargin  = 1300 * time.Millisecond
 	// agentGarbagePercent keeps the heap small; the agent allocates little.
 	agentGarbagePercent = 40
 )
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -27,7 +27,7 @@
 	// weightsMargin is the part of the time that declared weights have in
 	// which older ones are no longer used: a request that is sent begins
 	// within it.
-	weightsMargin = 700 * time.Millisecond
+	weightsMargin = 900 * time.Millisecond
 	// patience is the share of a request's objective that it may wait for a
 	// place: a refusal is free up to an eighth.
 	patience = 0.11
@@ -145,6 +145,7 @@
 	addRunner(&g, e.declared.Run)
 	addRunner(&g, e.servers.Run)
 	addRunner(&g, e.pool.Run)
+	addRunner(&g, e.desk.Run)
 	addRunner(&g, e.exchange.Run)
 	addRunner(&g, e.announce)
 	addRunner(&g, e.follow)
--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -62,6 +62,7 @@
 type serverState struct {
 	running   int
 	cold      ColdRate
+	burst     Burst
 	suspicion Suspicion
 }
 
@@ -114,6 +115,38 @@
 // silent counts on.
 func (d *Desk) entries() int { return len(d.peers) + 1 }
 
+// heardEntries is the number of entry instances that are sending now; d.mu is
+// held.
+func (d *Desk) heardEntries(now time.Time) int {
+	n := 1
+	for _, p := range d.peers {
+		if now.Sub(p.heard) < peerAge {
+			n++
+		}
+	}
+	return n
+}
+
+// pumpEvery is the time between two looks at the waiting requests while no
+// place is given back.
+const pumpEvery = 20 * time.Millisecond
+
+// Run looks after waiting requests until ctx ends.
+func (d *Desk) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.clock.After(pumpEvery):
+		}
+		d.mu.Lock()
+		if len(d.waiting) > 0 {
+			d.pump()
+		}
+		d.mu.Unlock()
+	}
+}
+
 // Acquire gives the request a place, at once or after a short wait. The place
 // must be given back with Release.
 func (d *Desk) Acquire(ctx context.Context, q *Demand) (Place, error) {
@@ -213,6 +246,7 @@
 	st := d.state(p.Server.ID)
 	st.running++
 	st.cold.Sent(d.clock.Now())
+	st.burst.Sent(d.clock.Now())
 	return p, nil
 }
 
@@ -242,7 +276,7 @@
 			Limit:   v.Slots,
 			Penalty: st.suspicion.Penalty(),
 		}
-		blocked := st.suspicion.Barred(now)
+		blocked := st.suspicion.Barred(now) || !st.burst.Allows(now, v.Slots-c.Place.Running, d.heardEntries(now))
 		if service != nil && service.ColdPerSecond > 0 && v.Cold(now) {
 			blocked = blocked || !st.cold.Allows(now, service.ColdPerSecond, d.entries())
 		}
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -106,7 +106,7 @@
 			return err
 		}
 		f.answered()
-		f.replace(State{Rows: rows, Changed: rev, Read: rev}, false)
+		f.replace(State{Rows: rows, Changed: newest(rows), Read: rev}, false)
 		return nil
 	}
 	rows, rev, err := f.source.Feed(ctx, f.table, since, f.wait())
@@ -118,6 +118,16 @@
 	return nil
 }
 
+// newest returns the newest revision of some rows. The revision of the whole
+// store also counts the changes of other tables.
+func newest(rows []Row) uint64 {
+	n := uint64(1)
+	for _, r := range rows {
+		n = max(n, r.Revision)
+	}
+	return n
+}
+
 // wait is shorter while deletions wait for the end of their grace.
 func (f *Follower) wait() time.Duration {
 	f.mu.Lock()
--- a/version/spread/obtain.go
+++ b/version/spread/obtain.go
@@ -19,6 +19,9 @@
 	corruptTries = 2
 	// maxAsked is how many holders are asked in one search.
 	maxAsked = 12
+	// promptly is the time in which an owner that failed has cost nothing:
+	// the next one, which is the same for all regions, is asked.
+	promptly = 200 * time.Millisecond
 	// neighbours is how many other peers are asked in one round while the
 	// origin cannot be read.
 	neighbours = 4
@@ -124,13 +127,15 @@
 		if p.Addr == s.cfg.Self.Addr {
 			return s.get(ctx, o, t+1)
 		}
+		asked := s.clock.Now()
 		body, err := s.fromOwner(ctx, p.Addr, o, t+1)
 		if err == nil {
 			return body, nil
 		}
 		last = err
-		if t == tierRegion {
+		if t == tierRegion && s.clock.Since(asked) > promptly {
 			// The origin may be gone soon: its owner is not waited for.
+			s.log.Fail(eventFleetOwner, err, eventlog.Fields{"version": o.version, "chunk": o.digest, "peer": p.Addr})
 			return s.fromOrigin(ctx, o)
 		}
 	}
