Clients return after 2 s when no server holds what they need

Cause: while weights are fetched anew for seconds, refused clients came back after 0.5 s into the same outage and had no further try. Ruled out: holding the request, which would cost callers their own fallback. Change: Retry-After 2 s and more when nothing can serve; 0.1 s when all is full.

--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -60,8 +60,9 @@
 	returnLeast = 100 * time.Millisecond
 	// returnSpread spreads the returns of clients refused together.
 	returnSpread = 100 * time.Millisecond
-	// returnDown is sent when no server can run the request at all.
-	returnDown = 500 * time.Millisecond
+	// returnDown is sent when no server can run the request at all: fetching
+	// and loading weights takes that long and more.
+	returnDown = 2 * time.Second
 )
 
 // ReturnAfterFull is the pause after which a client that found every place
