--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -34,7 +34,7 @@
 	// from the age at which pieces have usually arrived to shortly before
 	// older weights are no longer used.
 	firstChange = 2200 * time.Millisecond
-	lastMargin  = 1300 * time.Millisecond
+	lastMargin  = 1050 * time.Millisecond
 	// agentGarbagePercent keeps the heap small; the agent allocates little.
 	agentGarbagePercent = 40
 )
--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -39,6 +39,12 @@
 	Patience float64
 }
 
+// queueAtServer is how many requests may wait in a server's own queue: a place
+// that becomes free between two passes of an engine is then taken at the next
+// one, and not one pass later. More of them cost more time to the first token
+// than they gain (docs/design/load.md).
+const queueAtServer = 1
+
 // peerAge is how long another entry instance's counts are believed without a
 // message from it; its heartbeat comes twice a second.
 const peerAge = 2 * time.Second
@@ -273,7 +279,7 @@
 				Server: v, Version: version, Running: d.running(v.ID, st, now),
 				Remote: v.DataCentre != d.cfg.DataCentre,
 			},
-			Limit:   v.Slots,
+			Limit:   v.Slots + queueAtServer,
 			Penalty: st.suspicion.Penalty(),
 		}
 		blocked := st.suspicion.Barred(now) || !st.burst.Allows(now, v.Slots-c.Place.Running, d.heardEntries(now))
