--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -273,16 +273,16 @@
 		if !ok {
 			continue
 		}
-		st := d.state(v.ID)
+		st, limit := d.state(v.ID), v.Slots+queueAtServer
 		c := Candidate{
 			Place: Place{
 				Server: v, Version: version, Running: d.running(v.ID, st, now),
 				Remote: v.DataCentre != d.cfg.DataCentre,
 			},
-			Limit:   v.Slots + queueAtServer,
+			Limit:   limit,
 			Penalty: st.suspicion.Penalty(),
 		}
-		blocked := st.suspicion.Barred(now) || !st.burst.Allows(now, v.Slots-c.Place.Running, d.heardEntries(now))
+		blocked := st.suspicion.Barred(now) || !st.burst.Allows(now, limit-c.Place.Running, d.heardEntries(now))
 		if service != nil && service.ColdPerSecond > 0 && v.Cold(now) {
 			blocked = blocked || !st.cold.Allows(now, service.ColdPerSecond, d.entries())
 		}
