A silent server is left only for another that has room

Ruled out: the budget of repeats, which had not been used up. Change: the watch looks for a place first, and again every 200 ms; a request that may have run waits up to 1 s for a place. 'rattanway trace' explains the events of the daemons on the users' platform; docs/EVENTS.md names them. Tests: TestSilentServer, TestBrokenStreamWaitsForAPlace (both failed before).

--- a/cli/docs_test.go
+++ b/cli/docs_test.go
@@ -23,8 +23,9 @@
 func TestEventsPage(t *testing.T) {
 	var page bytes.Buffer
 	page.WriteString("# Events\n\n" +
-		"Every process writes its log as JSON lines to standard error. Each line has the\n" +
-		"event's number (`event`), its name (`msg`), the process and the time. Numbers:\n" +
+		"Every process writes its log as JSON lines: `rattanway-node` to standard output,\n" +
+		"the daemons of `rattanway` to standard error. Each line has the event's number\n" +
+		"(`event`), its name (`msg`), the process and the time. Numbers:\n" +
 		"1xx connections, 2xx configuration, 3xx weights, 4xx agent, 5xx entry instance,\n" +
 		"6xx process. This page is made from the code: `go test ./cli -update`.\n\n" +
 		"| number | name | level | meaning |\n|---|---|---|---|\n")
--- a/cli/trace_request.go
+++ b/cli/trace_request.go
@@ -15,6 +15,8 @@
 	"github.com/go-faster/errors"
 	"github.com/olekukonko/tablewriter"
 
+	// The daemons on the users' platform define events of their own.
+	_ "github.com/rattanway/rattanway/daemon/hosted"
 	"github.com/rattanway/rattanway/process/eventlog"
 )
 
--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -192,8 +192,16 @@
 // patience is how long a request may wait here.
 func (d *Desk) patience(q *Demand) time.Duration {
 	now := d.clock.Now()
-	most := time.Duration(d.cfg.Patience * float64(q.Objective))
-	return min(most-now.Sub(q.Arrived), q.Deadline.Sub(now))
+	most := time.Duration(d.cfg.Patience*float64(q.Objective)) - now.Sub(q.Arrived)
+	return min(max(most, q.Patience), q.Deadline.Sub(now))
+}
+
+// HasRoom reports whether a server other than those tried could take the
+// request now.
+func (d *Desk) HasRoom(q *Demand) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return ChooseUnevenZones(d.candidates(q), 0) >= 0
 }
 
 // enqueue orders waiting requests by rank, requests that came back first.
--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -84,6 +84,11 @@
 	// every 50 ms.
 	silentFirst   = 1200 * time.Millisecond
 	silentBetween = 900 * time.Millisecond
+	// silentAgain is the time to the next look for another server.
+	silentAgain = 200 * time.Millisecond
+	// repeatPatience is how long a request that may have run waits for a place
+	// at another server; clients give up a stream after 2 s without an event.
+	repeatPatience = time.Second
 	// silentFactor is how many objectives a repeatable request waits for its
 	// answer before it is sent to another server.
 	silentFactor = 2
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -220,6 +220,55 @@
 	})
 }
 
+func TestSilentServer(t *testing.T) {
+	Convey("Without another server to go to, a silent server's late answer is waited for", t, func() {
+		a := newServer(t, "s1", func(a arrival, _ int) string {
+			<-time.After(silentFactor*300*time.Millisecond + 2*silentAgain)
+			return whole(a, http.StatusOK, "late")
+		})
+		g := newRig(t, nil, a)
+		So(g.ask(t, http.MethodGet, "/safe/", "").body, ShouldEqual, "late")
+		So(a.count(), ShouldEqual, 1)
+	})
+
+	Convey("With one, the request is sent there", t, func() {
+		release := make(chan struct{})
+		defer close(release)
+		a := newServer(t, "s1", func(arrival, int) string {
+			<-release
+			return ""
+		})
+		g := newRig(t, nil, a)
+		b := answering(t, "s2")
+		listed := g.holder.Current().Servers["s1"]
+		g.holder.Apply([]catalog.Change{{Server: listed}, {Server: &catalog.Server{
+			ID: "s2", Service: "registry", Addr: b.listener.Addr().String(), DataCentre: "elsewhere", Slots: 4,
+		}}}, true, true, time.Now())
+		So(g.ask(t, http.MethodGet, "/safe/", "").body, ShouldEqual, "from s2")
+		So(a.count(), ShouldEqual, 1)
+	})
+}
+
+func TestBrokenStreamWaitsForAPlace(t *testing.T) {
+	Convey("A stream whose server broke is continued once another has a place", t, func() {
+		continues := func(a arrival, _ int) string {
+			if a.req.Header.Get("Last-Event-Id") == "" {
+				return streamHead(a) + chunk(event(1)) + cutHere
+			}
+			return streamHead(a) + chunk(event(2)) + endOfChunks
+		}
+		a, b := newServer(t, "s1", continues), newServer(t, "s2", continues)
+		g := newRig(t, nil, a, b)
+		// The other server is full until another entry instance says otherwise.
+		full := map[string]int{"s1": 0, "s2": 9}
+		g.desk.PeerLoads("other", full)
+		time.AfterFunc(300*time.Millisecond, func() { g.desk.PeerLoads("other", map[string]int{"s2": 0}) })
+		r := g.ask(t, http.MethodPost, "/resumable/", "prompt")
+		So(r.err, ShouldBeNil)
+		So(r.body, ShouldEqual, event(1)+event(2))
+	})
+}
+
 func TestClientLeaves(t *testing.T) {
 	Convey("A server's connection ends within half a second of its client's", t, func() {
 		ended := make(chan time.Time, 1)
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -27,6 +27,9 @@
 			return
 		}
 		c.demand.Tried[place.Server.ID] = true
+		if result.mayHaveRun {
+			c.demand.Patience = repeatPatience
+		}
 		if err := c.next(ctx, place, &result); err != nil {
 			c.giveUp(ctx, err)
 			return
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"github.com/rattanway/rattanway/connection/backend"
 	"github.com/rattanway/rattanway/request/dispatch"
+	"github.com/rattanway/rattanway/version/catalog"
 )
 
 // result is what became of one sending.
@@ -76,7 +79,7 @@
 func (c *call) exchange(ctx context.Context, conn *backend.Conn, place dispatch.Place) result {
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	watch := c.newWatch(ctx, conn)
+	watch := c.newWatch(ctx, conn, place)
 	defer watch.stop()
 	resp, err := conn.Do(ctx, c.head(place), c.r, c.body, c.mine)
 	if errors.Is(err, backend.ErrNotSent) {
@@ -279,29 +282,43 @@
 // be sent to another server.
 type watch struct {
 	call  *call
+	other dispatch.Demand
 	ctx   context.Context
 	conn  *backend.Conn
+	mu    sync.Mutex
 	timer *time.Timer
 	fired atomic.Bool
 }
 
 // newWatch begins to wait for the first byte of an answer.
-func (c *call) newWatch(ctx context.Context, conn *backend.Conn) *watch {
-	w := &watch{call: c, ctx: ctx, conn: conn}
+func (c *call) newWatch(ctx context.Context, conn *backend.Conn, place dispatch.Place) *watch {
+	w := &watch{call: c, ctx: ctx, conn: conn, other: c.demand}
+	w.other.Tried = maps.Clone(c.demand.Tried)
+	w.other.Tried[place.Server.ID] = true
 	if !c.route.Repeatable() || len(c.ran)+1 >= c.route.MaxServers {
 		return w
 	}
 	limit := silentFirst
-	if c.route.Kind != "stream" {
+	if c.route.Kind != catalog.KindStream {
 		limit = silentFactor * c.route.Objective
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(limit, w.fire)
 	return w
 }
 
-// fire ends the exchange if a repeat is allowed.
+// fire ends the exchange if the request can be sent elsewhere: a silent server's
+// answer may still come, which is better than none.
 func (w *watch) fire() {
-	if w.ctx.Err() != nil || !w.call.cfg.Desk.Repeat(w.call.demand.Service) {
+	desk := w.call.cfg.Desk
+	switch {
+	case w.ctx.Err() != nil:
+		return
+	case !desk.HasRoom(&w.other):
+		w.again(silentAgain)
+		return
+	case !desk.Repeat(w.other.Service):
 		return
 	}
 	w.fired.Store(true)
@@ -310,14 +327,26 @@
 
 // progressed notes that the server sent something.
 func (w *watch) progressed() {
-	if w.timer != nil && !w.fired.Load() {
-		w.timer.Reset(silentBetween)
+	if !w.fired.Load() {
+		w.again(silentBetween)
+	}
+}
+
+// again sets the time to the next look, unless the watch has ended.
+func (w *watch) again(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Reset(d)
 	}
 }
 
 func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
+		w.timer = nil
 	}
 }
 
