--- /dev/null
+++ b/connection/fleet/fleet_test.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/core"
+	"github.com/rattanway/rattanway/process/eventlog"
+	"github.com/rattanway/rattanway/process/httpserver"
+	"github.com/rattanway/rattanway/version/catalog"
+)
+
+const (
+	token = "test-token"
+	bound = 20 * time.Second
+)
+
+// entry is an entry instance's side, with what it was told of servers.
+type entry struct {
+	holder *catalog.Holder
+	server *httptest.Server
+
+	mu     sync.Mutex
+	states map[string]frame.AgentState
+}
+
+func newEntry(t *testing.T) *entry {
+	t.Helper()
+	e := &entry{holder: catalog.NewHolder(eventlog.Discard()), states: map[string]frame.AgentState{}}
+	hub := NewHub(HubConfig{
+		Holder: e.holder, Log: eventlog.Discard(), Clock: clockwork.NewRealClock(),
+		Entries: func() []string { return nil },
+		Agent: func(server string, s *frame.AgentState) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			delete(e.states, server)
+			if s != nil {
+				e.states[server] = *s
+			}
+		},
+	})
+	e.server = httptest.NewServer(httpserver.RequirePeer(token, hub))
+	e.declare(1, &catalog.Config{Version: 1, Services: map[string]*catalog.Service{
+		"label":   {Name: "label", Engine: &catalog.Engine{Models: []string{"herbs"}, Chunks: 48, ChunkBytes: 512}},
+		"weights": {Name: "weights", Origin: &catalog.Origin{Addr: "10.0.0.1:80", BytesPerSecond: 1000}},
+	}})
+	t.Cleanup(func() {
+		e.server.CloseClientConnections()
+		e.server.Close()
+	})
+	return e
+}
+
+// declare puts a configuration or a version of the weights into force.
+func (e *entry) declare(version int, c *catalog.Config) {
+	change := catalog.Change{Config: c}
+	if c == nil {
+		change = catalog.Change{Weights: &catalog.Weights{Model: "herbs", Version: version}}
+	}
+	e.holder.Apply([]catalog.Change{change}, false, false, time.Now())
+}
+
+func (e *entry) state(server string) (frame.AgentState, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.states[server]
+	return s, ok
+}
+
+// peer is an agent's side, with what it was told of the fleet.
+type peer struct {
+	*Links
+	stop func()
+
+	mu    sync.Mutex
+	fleet *frame.Fleet
+}
+
+func newPeer(t *testing.T, name string, e *entry) *peer {
+	t.Helper()
+	p := &peer{}
+	p.Links = NewLinks(LinksConfig{
+		Hello: frame.AgentHello{Self: core.Instance{ID: name, Role: core.RoleAgent, Addr: name}, Server: "server-" + name},
+		Token: token, Entries: []string{e.server.Listener.Addr().String()}, Log: eventlog.Discard(),
+		Clock: clockwork.NewRealClock(),
+		Declared: func() []frame.WantedWeights {
+			return []frame.WantedWeights{{Model: "herbs", Version: 1, AgeMs: 60_000}}
+		},
+		Fleet: func(_ string, f *frame.Fleet) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.fleet = f
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Run(ctx)
+	}()
+	p.stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	t.Cleanup(p.stop)
+	return p
+}
+
+// told reports whether the newest fleet meets a condition.
+func (p *peer) told(met func(frame.Fleet) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet != nil && met(*p.fleet)
+}
+
+// eventually waits for a condition.
+func eventually(met func() bool) bool {
+	for end := time.Now().Add(bound); time.Now().Before(end); {
+		if met() {
+			return true
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+	return false
+}
+
+func TestFleet(t *testing.T) {
+	Convey("Agents hear of each other, of new weights and of the origin", t, func() {
+		e := newEntry(t)
+		a := newPeer(t, "a", e)
+		newPeer(t, "b", e)
+		So(eventually(func() bool {
+			return a.told(func(f frame.Fleet) bool {
+				return len(f.Agents) == 2 && f.Origin == "10.0.0.1:80" && len(f.Weights) == 1 && f.Weights[0].Version == 1
+			})
+		}), ShouldBeTrue)
+		e.declare(2, nil)
+		So(eventually(func() bool {
+			return a.told(func(f frame.Fleet) bool { return f.Weights[0].Version == 2 && f.Weights[0].AgeMs < 10_000 })
+		}), ShouldBeTrue)
+	})
+
+	Convey("An entry instance hears at once what a server holds, and when its agent is gone", t, func() {
+		e := newEntry(t)
+		a := newPeer(t, "a", e)
+		a.Publish(frame.AgentState{Weights: map[string]int{"herbs": 2}, Loading: true})
+		So(eventually(func() bool {
+			s, ok := e.state("server-a")
+			return ok && s.Loading && s.Weights["herbs"] == 2
+		}), ShouldBeTrue)
+		a.stop()
+		So(eventually(func() bool {
+			_, ok := e.state("server-a")
+			return !ok
+		}), ShouldBeTrue)
+	})
+
+	Convey("An entry instance learns from an agent since when a version is known", t, func() {
+		e := newEntry(t)
+		e.declare(1, nil)
+		newPeer(t, "a", e)
+		So(eventually(func() bool {
+			return time.Since(e.holder.Current().Weights["herbs"].Known) > 50*time.Second
+		}), ShouldBeTrue)
+	})
+}
