Agents deal the pieces alike before they begin to fetch

Cause: an agent that was asked for a piece before it had begun its own fetch had no list of agents, took itself for the owner and read the origin: 19 to 27 of 48 pieces came twice, and the last ones not at all when the origin went down 2.5 s after a declaration. Change: spread.Config.Peers is the loader's list; event 348 tells how many agents were known; 308 also tells of prompt failures.

--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -100,6 +100,7 @@
 		Parallel: piecesAtOnce, OriginParallel: ownedAtOnce, UploadSlots: uploadsAtOnce,
 		Wait: pieceWait, AnswerMargin: pieceMargin, Stall: pieceStall, Suspect: peerSuspect,
 		RetryPause: pieceRetry, FlightTimeout: pieceFlight, Metrics: a.registry,
+		Peers: func(core.Digest) []spread.Peer { return a.loader.Sources() },
 	}, spread.NewStore(storeBytes), pieces, log, clock)
 	a.links = fleet.NewLinks(fleet.LinksConfig{
 		Hello: frame.AgentHello{Self: self, Server: s.Server}, Token: o.Token,
--- a/version/loading/events.go
+++ b/version/loading/events.go
@@ -21,6 +21,8 @@
 		"A staged piece no longer had its digest and was staged again.")
 	eventFetched = eventlog.Define(347, "load-fetched", logrus.InfoLevel,
 		"Every piece of a version is held by this agent; held says that the server has the version already.")
+	eventFetching = eventlog.Define(348, "load-fetching", logrus.InfoLevel,
+		"This agent begins to fetch a version; fields give the agents that it knows and those among which the pieces are dealt.")
 	eventServer = eventlog.Define(346, "load-server-changed", logrus.InfoLevel,
 		"The server beside this agent started anew, or reports other weights than before.")
 )
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -378,15 +378,22 @@
 	if held {
 		return l.readBack(ctx, w, digests)
 	}
-	sources := func() []spread.Peer {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return l.target.sources()
-	}
-	_, err = l.cfg.Swarm.Fetch(ctx, digest, sources)
+	l.cfg.Log.Event(eventFetching, eventlog.Fields{
+		"model": w.Model, "version": w.Version, "sources": len(l.Sources()), "agents": len(l.currentTarget().Agents),
+	})
+	_, err = l.cfg.Swarm.Fetch(ctx, digest, l.Sources)
 	return err
 }
 
+// Sources returns the agents that pieces are dealt among. An agent that is asked
+// for a piece before it begins to fetch needs the same list as the others:
+// without one it would take itself for the owner and read the origin.
+func (l *Loader) Sources() []spread.Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.target.sources()
+}
+
 // keptVersions is how many versions of a model are kept: the one that serves,
 // and two that are on their way.
 const keptVersions = 3
--- a/version/spread/events.go
+++ b/version/spread/events.go
@@ -21,7 +21,7 @@
 	eventFetch = eventlog.Define(306, "version-fetch-started", logrus.InfoLevel,
 		"The agent begins to fetch a version; fields give its chunks and bytes, and how many chunks this agent owns.")
 	eventFleetOwner = eventlog.Define(308, "fleet-owner-failed", logrus.InfoLevel,
-		"The agent that owns a chunk among all agents did not give it; the origin is read by the region's owner instead.")
+		"The agent that owns a chunk among all agents did not give it; the next one is asked, or the origin is read here.")
 	eventRetry = eventlog.Define(307, "chunk-retry", logrus.InfoLevel,
 		"No source gave the chunk in this round; it is tried again after a pause.")
 )
--- a/version/spread/obtain.go
+++ b/version/spread/obtain.go
@@ -133,9 +133,12 @@
 			return body, nil
 		}
 		last = err
-		if t == tierRegion && s.clock.Since(asked) > promptly {
+		if t != tierRegion {
+			continue
+		}
+		s.log.Fail(eventFleetOwner, err, eventlog.Fields{"version": o.version, "chunk": o.digest, "peer": p.Addr})
+		if s.clock.Since(asked) > promptly {
 			// The origin may be gone soon: its owner is not waited for.
-			s.log.Fail(eventFleetOwner, err, eventlog.Fields{"version": o.version, "chunk": o.digest, "peer": p.Addr})
 			return s.fromOrigin(ctx, o)
 		}
 	}
