--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -274,9 +274,8 @@
 	conn.SetPeer(hello.Self.ID)
 	x.Learn(hello.Self.Addr)
 	x.cfg.Loads.PeerBegan(hello.Self.ID)
-	if err := x.listen(conn, hello.Self.ID); err != nil {
-		x.cfg.Log.Fail(eventPeerGone, err, eventlog.Fields{"peer": hello.Self.ID, "from": "accepted"})
-	}
+	err = x.listen(conn, hello.Self.ID)
+	x.cfg.Log.Fail(eventPeerGone, err, eventlog.Fields{"peer": hello.Self.ID, "from": "accepted"})
 }
 
 func (x *Exchange) due() time.Time { return x.cfg.Clock.Now().Add(silentAfter) }
