Read as a newcomer: unused fields go, the hub's sender is told in two steps

Change: they are removed or split; a change of servers alone no longer sends agents a heartbeat early. Ruled out: a change of behaviour towards clients; no test was changed but for the names of removed fields.

--- a/connection/fleet/hub.go
+++ b/connection/fleet/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -144,7 +145,7 @@
 // report takes in what an agent says.
 func (h *Hub) report(a *agent, s frame.AgentState) {
 	h.mu.Lock()
-	same := a.state.Loading == s.Loading && sameWeights(a.state.Weights, s.Weights)
+	same := a.state.Loading == s.Loading && maps.Equal(a.state.Weights, s.Weights)
 	a.state = s
 	current := h.agents[a.hello.Server] == a
 	h.mu.Unlock()
@@ -159,18 +160,6 @@
 	}
 }
 
-func sameWeights(a, b map[string]int) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if b[k] != v {
-			return false
-		}
-	}
-	return true
-}
-
 // tell sends the fleet whenever it changes, and a heartbeat otherwise.
 func (h *Hub) tell(ctx context.Context, a *agent) {
 	var sent *catalog.Snapshot
@@ -181,7 +170,7 @@
 		declared := h.cfg.Holder.Changed()
 		snapshot := h.cfg.Holder.Current()
 		var err error
-		if sent == nil || !sameWants(sent, snapshot) || joinedSince(joined, h) {
+		if sent == nil || !sameWants(sent, snapshot) {
 			err = a.conn.Send(frame.KindFleet, h.fleet(snapshot))
 			sent = snapshot
 		} else {
@@ -191,46 +180,57 @@
 			_ = a.conn.Close()
 			return
 		}
+		if !h.awaitChange(ctx, joined, declared, &sent) {
+			return
+		}
+	}
+}
+
+// awaitChange waits until there is something to send: a change, of which those
+// that follow at once are gathered, or a heartbeat. It forgets what was sent when
+// agents came or went, and returns false when ctx ends.
+func (h *Hub) awaitChange(ctx context.Context, joined, declared <-chan struct{}, sent **catalog.Snapshot) bool {
+	beat := h.cfg.Clock.After(heartbeat)
+	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
+		case <-beat:
+			return true
 		case <-joined:
-			sent = nil
+			*sent = nil
 		case <-declared:
-			if !sameWants(sent, h.cfg.Holder.Current()) {
-				sent = nil
+			if sameWants(*sent, h.cfg.Holder.Current()) {
+				// Servers changed, which agents need not know.
+				declared = h.cfg.Holder.Changed()
+				continue
 			}
-		case <-h.cfg.Clock.After(heartbeat):
-			continue
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-h.cfg.Clock.After(gatherFor):
+			return true
 		}
 	}
 }
 
-// joinedSince reports whether agents came or went since a channel was read.
-func joinedSince(joined chan struct{}, h *Hub) bool {
-	select {
-	case <-joined:
-		return true
-	default:
-		return false
+// sameWants reports whether two snapshots ask the same of agents.
+func sameWants(a, b *catalog.Snapshot) bool {
+	if a.Config == nil || b.Config == nil {
+		return a.Config == b.Config
 	}
+	return sameVersions(a, b) && sameOrigin(a.Origin(), b.Origin())
 }
 
-// sameWants reports whether two snapshots want the same weights.
-func sameWants(a, b *catalog.Snapshot) bool {
-	if a.Config != b.Config || len(a.Weights) != len(b.Weights) {
-		return a.Config != nil && b.Config != nil && len(a.Weights) == len(b.Weights) && sameVersions(a, b) &&
-			a.Origin() != nil && b.Origin() != nil && *a.Origin() == *b.Origin()
-	}
-	return sameVersions(a, b)
+func sameOrigin(a, b *catalog.Origin) bool {
+	return a == b || a != nil && b != nil && *a == *b
 }
 
 func sameVersions(a, b *catalog.Snapshot) bool {
+	if len(a.Weights) != len(b.Weights) {
+		return false
+	}
 	for model, w := range b.Weights {
 		if a.Weights[model].Version != w.Version {
 			return false
--- a/daemon/hosted/common.go
+++ b/daemon/hosted/common.go
@@ -40,7 +40,7 @@
 		"This entry instance changed whether it takes new connections.")
 	eventEntries = eventlog.Define(625, "hosted-entries", logrus.InfoLevel,
 		"This entry instance has written its address to the store and read those of the others.")
-	eventPanic = eventlog.Define(626, "hosted-server-error", logrus.WarnLevel,
+	eventServer = eventlog.Define(626, "hosted-server-error", logrus.WarnLevel,
 		"The HTTP server reports an error on a connection.")
 )
 
--- a/daemon/hosted/servers.go
+++ b/daemon/hosted/servers.go
@@ -53,6 +53,6 @@
 
 // Write implements io.Writer.
 func (e errorLines) Write(line []byte) (int, error) {
-	e.log.Event(eventPanic, eventlog.Fields{"error": strings.TrimSpace(string(line))})
+	e.log.Event(eventServer, eventlog.Fields{"error": strings.TrimSpace(string(line))})
 	return len(line), nil
 }
--- a/request/dispatch/demand.go
+++ b/request/dispatch/demand.go
@@ -26,13 +26,9 @@
 	Arrived, Deadline time.Time
 	// Objective is the time to the first byte for which it is on time.
 	Objective time.Duration
-	// Prompt and Output are its tokens, as far as they are known.
-	Prompt, Output int
 	// Patience is how long it may wait for a place at a further server after
 	// a sending failed; 0 for a request that has not run anywhere.
 	Patience time.Duration
-	// Returned says that the client was refused before and came back.
-	Returned bool
 	// Tried are the servers that are not to get it again.
 	Tried map[string]bool
 }
--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -204,16 +204,11 @@
 	return ChooseUnevenZones(d.candidates(q), 0) >= 0
 }
 
-// enqueue orders waiting requests by rank, requests that came back first.
+// enqueue orders waiting requests by rank, and those of a rank by their
+// arrival.
 func (d *Desk) enqueue(w *waiter) {
-	before := func(a, b *Demand) bool {
-		if a.Rank != b.Rank {
-			return a.Rank < b.Rank
-		}
-		return a.Returned && !b.Returned
-	}
 	i := len(d.waiting)
-	for i > 0 && before(w.demand, d.waiting[i-1].demand) {
+	for i > 0 && w.demand.Rank < d.waiting[i-1].demand.Rank {
 		i--
 	}
 	d.waiting = slices.Insert(d.waiting, i, w)
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -2,11 +2,16 @@
 
 import "time"
 
-// nearBias is how many requests more than the least loaded server a server of
-// the own data centre may run and still be chosen. A request elsewhere costs
-// bytes between regions; one more neighbour in a batch costs about 0.1 ms a
-// token.
-const nearBias = 4
+const (
+	// nearBias is how many requests more than the least loaded server a
+	// server of the own data centre may run and still be chosen. A request
+	// elsewhere costs bytes between regions; one more neighbour in a batch
+	// costs about 0.1 ms a token.
+	nearBias = 4
+	// usualLimit is the limit to which the loads of servers with other limits
+	// are scaled, so that nearBias means the same everywhere.
+	usualLimit = 16
+)
 
 // Candidate is a server that could run a request, with its load.
 type Candidate struct {
@@ -20,7 +25,7 @@
 
 // load is what the candidate is judged by.
 func (c *Candidate) load() float64 {
-	return (float64(c.Place.Running) + c.Penalty) * 16 / float64(max(1, c.Limit))
+	return (float64(c.Place.Running) + c.Penalty) * usualLimit / float64(max(1, c.Limit))
 }
 
 // hasRoom reports whether a place is free.
--- a/request/dispatch/suspicion.go
+++ b/request/dispatch/suspicion.go
@@ -69,16 +69,16 @@
 	case Misdirected:
 		s.until = later(s.until, now.Add(passOverMisdirected))
 	case Unreachable, Stalled:
-		s.fail(now)
+		s.fail()
 		s.until = later(s.until, now.Add(min(passOverMost, passOverFailed<<min(s.row, 8))))
 		s.row++
 	case Broken:
-		s.fail(now)
+		s.fail()
 	case Ended:
 	}
 }
 
-func (s *Suspicion) fail(time.Time) { s.rate += (1 - s.rate) * failureWeight }
+func (s *Suspicion) fail() { s.rate += (1 - s.rate) * failureWeight }
 
 // Barred reports whether the server is passed over at now.
 func (s *Suspicion) Barred(now time.Time) bool { return now.Before(s.until) }
--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -30,10 +30,6 @@
 	Account string
 	// Model names the model.
 	Model string
-	// Tokens is the prompt's tokens and the most to generate, with a comma.
-	Tokens string
-	// LengthHint is the client's estimate of the tokens to generate.
-	LengthHint string
 	// LastEvent is the last event of a stream that the sender holds.
 	LastEvent string
 	// KeyScheme is the authentication scheme of clients' keys.
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -179,17 +179,6 @@
 		left = min(left, time.Duration(ms*float64(time.Millisecond)))
 	}
 	q.Deadline = q.Arrived.Add(left)
-	prompt, output, _ := strings.Cut(c.r.Header.Get(c.cfg.Headers.Tokens), ",")
-	q.Prompt, q.Output = number(prompt), number(output)
-}
-
-// number reads a count; a header that holds none counts as 0.
-func number(s string) int {
-	n, err := strconv.Atoi(strings.TrimSpace(s))
-	if err != nil {
-		return 0
-	}
-	return n
 }
 
 // chooseService picks one of the route's services by their weights.
--- a/request/forward/rig_test.go
+++ b/request/forward/rig_test.go
@@ -27,7 +27,7 @@
 var names = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Receipt: "X-Receipt", NotRun: "X-Not-Run",
 	ExpectServer: "X-Expect-Server", ExpectVersion: "X-Expect-Version", Account: "X-Account", Model: "X-Model",
-	Tokens: "X-Tokens", LengthHint: "X-Hint", LastEvent: "Last-Event-Id", KeyScheme: "Token ", Own: []string{"X-Own"},
+	LastEvent: "Last-Event-Id", KeyScheme: "Token ", Own: []string{"X-Own"},
 }
 
 // arrival is a request as a server got it.
