--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -45,9 +45,6 @@
 	idleFor time.Duration
 }
 
-// Reused reports whether the connection carried a request before.
-func (c *Conn) Reused() bool { return c.used }
-
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
--- a/version/catalog/snapshot.go
+++ b/version/catalog/snapshot.go
@@ -93,19 +93,6 @@
 	return nil
 }
 
-// EngineOf returns the description of the model servers that hold a model.
-func (s *Snapshot) EngineOf(model string) *Engine {
-	if s.Config == nil {
-		return nil
-	}
-	for _, v := range s.Config.Services {
-		if v.Engine != nil && slices.Contains(v.Engine.Models, model) {
-			return v.Engine
-		}
-	}
-	return nil
-}
-
 // Declared returns the versions of all models that became known within the
 // last while, oldest and newest alike.
 func (s *Snapshot) Declared(now time.Time, within time.Duration) []Weights {
