A woken agent decides on the configuration that was confirmed

A second gap beside it: the pause detector moved its mark before it counted the pause, with a log line in between, so a call in that time saw no pause at all.

Ruled out: a confirmation older than the pause (Gate compares its age with the time since the pause; the log shows version 2 in force before the call was admitted), a call in the middle of check while frozen (calls were sent after the freeze).

Change: check asks for the confirmation first and reads the configuration after it; the detector changes mark and count under one lock and logs outside.

--- a/process/pause/pause.go
+++ b/process/pause/pause.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,11 +24,13 @@
 
 // Detector counts the pauses of this process.
 type Detector struct {
-	log *eventlog.Logger
-	// marked is the time of the newest mark, in nanoseconds since started.
-	marked  atomic.Int64
+	log     *eventlog.Logger
 	started time.Time
-	pauses  atomic.Int64
+
+	mu sync.Mutex
+	// marked is the time of the newest mark, since started.
+	marked time.Duration
+	pauses int64
 }
 
 // New returns a Detector that has been marked now.
@@ -51,14 +53,25 @@
 }
 
 // Pauses marks the time and returns how many pauses there have been, with one
-// that ended just now, before Run noticed it.
+// that ended just now, before Run noticed it. The mark and the count change
+// together: a second caller must not see the new mark with the old count.
 func (d *Detector) Pauses() int64 {
-	now := int64(time.Since(d.started))
-	before := d.marked.Swap(max(now, d.marked.Load()))
-	gap := time.Duration(now - before)
-	if gap < Threshold {
-		return d.pauses.Load()
+	gap, pauses := d.mark()
+	if gap >= Threshold {
+		d.log.Event(eventPaused, eventlog.Fields{"seconds": gap.Seconds()})
+	}
+	return pauses
+}
+
+// mark returns the time since the mark before and the number of pauses.
+func (d *Detector) mark() (time.Duration, int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Since(d.started)
+	gap := now - d.marked
+	d.marked = now
+	if gap >= Threshold {
+		d.pauses++
 	}
-	d.log.Event(eventPaused, eventlog.Fields{"seconds": gap.Seconds()})
-	return d.pauses.Add(1)
+	return gap, d.pauses
 }
--- a/request/serve/check.go
+++ b/request/serve/check.go
@@ -17,8 +17,11 @@
 // check says why a new call may not run here now; the empty reason lets it.
 // repeatable is true for a call that the entry sent without an offer.
 func (h *Handler) check(req *frame.Request, repeatable bool) frame.Reason {
+	// The configuration is read after the check that it is confirmed: a newer
+	// version may come in between, and its confirmation says nothing of the old.
+	unconfirmed := h.unconfirmed()
 	current := h.holder.Current()
-	if req.Config > current.Number || h.unconfirmed() {
+	if unconfirmed || req.Config > current.Number {
 		return frame.ReasonStale
 	}
 	if h.Leaving() {
--- a/request/serve/faults_test.go
+++ b/request/serve/faults_test.go
@@ -97,8 +97,11 @@
 
 func TestChecksBeforeNewWork(t *testing.T) {
 	Convey("Given an agent in front of an engine", t, func() {
-		confirmed := time.Now()
-		b := newBench(t, options{serve: Config{Confirmed: func() time.Time { return confirmed }}})
+		confirmed, confirming := time.Now(), func() {}
+		b := newBench(t, options{serve: Config{Confirmed: func() time.Time {
+			confirming()
+			return confirmed
+		}}})
 		req := completionRequest("r1", "1")
 
 		Convey("a call decided on a newer configuration is refused", func() {
@@ -113,6 +116,12 @@
 			b.configure(2, func(s *declare.Set) { s.DataCentres["palermo"].Out = true })
 			So(b.do(frame.KindRequest, req).word(), ShouldEqual, "refused out")
 		})
+		Convey("a version that comes in while it is being confirmed decides, not the one before", func() {
+			confirming = func() {
+				b.configure(2, func(s *declare.Set) { s.DataCentres["palermo"].Out = true })
+			}
+			So(b.do(frame.KindRequest, req).word(), ShouldEqual, "refused out")
+		})
 		Convey("a backend server that is to leave takes no new work", func() {
 			b.configure(2, func(s *declare.Set) { s.BackendServers["s1"].Leaving = true })
 			So(b.do(frame.KindRequest, req).word(), ShouldEqual, "refused leaving")
