Overload of one engine is tested in virtual time

Change: test/inprocess connects the real handler, gate and engine client to the stand-in engine without sockets, inside a synctest bubble. Same offered load (twice, three times what the engine bears), same bounds (0.95, 0.9, 0.5, 100 ms).

Conclusion: one verdict whatever the machine does.

--- a/connection/engine/http.go
+++ b/connection/engine/http.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// NewHTTPOver returns the client of an engine that is reached through
+// transport, such as one in the same process.
+func NewHTTPOver(transport http.RoundTripper) *HTTP {
+	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return &HTTP{addr: "engine", pooled: client, fresh: client}
+}
+
 // NewServiceHTTP returns the client of the plain service at addr. Its Status
 // is a health check at healthPath; empty means HealthPath.
 func NewServiceHTTP(addr, healthPath string) *HTTP {
--- a/connection/work/pool.go
+++ b/connection/work/pool.go
@@ -170,7 +170,7 @@
 		x.failed = true
 		return nil, err
 	}
-	msg, id, err := decode(f)
+	msg, id, err := Decode(f)
 	if err != nil {
 		x.failed = true
 		return nil, core.Step("receive answer", x.conn.Peer(), err)
@@ -199,9 +199,9 @@
 	}
 }
 
-// decode decodes an agent's frame into its message type and returns the
+// Decode decodes an agent's frame into its message type and returns the
 // request id that it carries.
-func decode(f frame.Frame) (msg any, id string, err error) {
+func Decode(f frame.Frame) (msg any, id string, err error) {
 	switch f.Kind {
 	case frame.KindAdmit:
 		m := &frame.Admit{}
--- a/request/serve/load_test.go
+++ b/request/serve/load_test.go
@@ -3,27 +3,44 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/request/admission"
 	standin "github.com/rattanway/rattanway/standin/engine"
+	"github.com/rattanway/rattanway/test/inprocess"
 )
 
 const (
-	loadTokens   = 20
-	warmBears    = 32
-	coldBears    = 8
-	perToken     = 5 * time.Millisecond
+	// Answers are from half of to one and a half times loadTokens long. In
+	// virtual time, answers of one length would all begin and end together.
+	loadTokens = 20
+	warmBears  = 32
+	coldBears  = 8
+	perToken   = 5 * time.Millisecond
+	// measureFor is how long it is measured what an engine bears.
+	measureFor = 10 * time.Second
+	// overloadFor is how long more is offered, so that what begins and ends
+	// half way counts little.
+	overloadFor  = 20 * time.Second
 	neverWarms   = 1e-9
 	refusalBound = 100 * time.Millisecond
 )
 
+// lengths draws the lengths of answers, in tokens.
+type lengths struct{ rng *rand.Rand }
+
+func newLengths(seed uint64) lengths { return lengths{rand.New(rand.NewPCG(seed, loadTokens))} }
+
+func (l lengths) next() string { return strconv.Itoa(loadTokens/2 + l.rng.IntN(loadTokens+1)) }
+
 // tally counts replies by client account.
 type tally struct {
 	mu       sync.Mutex
@@ -69,6 +86,7 @@
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 	defer ticker.Stop()
 	end := time.After(total)
+	tokens := newLengths(xxhash.Sum64String(account))
 	for i := 0; ; i++ {
 		select {
 		case <-end:
@@ -76,9 +94,9 @@
 		case <-ticker.C:
 		}
 		calls.Add(1)
+		req := completionRequest(fmt.Sprintf("%s-%d", account, i), tokens.next())
 		go func() {
 			defer calls.Done()
-			req := completionRequest(fmt.Sprintf("%s-%d", account, i), strconv.Itoa(loadTokens))
 			req.Account = account
 			start := time.Now()
 			r := b.do(frame.KindRequest, req)
@@ -99,8 +117,9 @@
 		workers.Add(1)
 		go func() {
 			defer workers.Done()
+			tokens := newLengths(uint64(w))
 			for i := 0; ctx.Err() == nil; i++ {
-				req := completionRequest(fmt.Sprintf("w%d-%d", w, i), strconv.Itoa(loadTokens))
+				req := completionRequest(fmt.Sprintf("w%d-%d", w, i), tokens.next())
 				c.add("w", b.do(frame.KindRequest, req), 0)
 			}
 		}()
@@ -123,7 +142,7 @@
 // coldGoodput offers a cold engine three times what it bears, and returns the
 // goodput as a share of what the engine bears at its cold limit.
 func coldGoodput(t *testing.T, bears float64, fixed bool, total time.Duration) float64 {
-	b := newBench(t, options{engine: loadEngine(neverWarms), gate: loadGate(fixed)})
+	b := newVirtualBench(t, options{engine: loadEngine(neverWarms), gate: loadGate(fixed)})
 	c := newTally()
 	start := time.Now()
 	b.offerLoad(c, "a", 3*bears, total)()
@@ -134,48 +153,52 @@
 
 // coldRate is what a cold engine bears, in calls per second.
 func coldRate(t *testing.T) float64 {
-	calm := newBench(t, options{engine: loadEngine(neverWarms), gate: loadGate(false)})
-	return calm.closedLoop(coldBears, time.Second)
+	calm := newVirtualBench(t, options{engine: loadEngine(neverWarms), gate: loadGate(false)})
+	return calm.closedLoop(coldBears, measureFor)
 }
 
-func TestColdEngine(t *testing.T) {
+func TestColdEngine(t *testing.T) { inprocess.Virtually(t, coldEngine) }
+
+func coldEngine(t *testing.T) {
 	bears := coldRate(t)
 	Convey("A cold engine under three times its load keeps 90% of what it bears with the ramp", t, func() {
-		So(coldGoodput(t, bears, false, 3*time.Second), ShouldBeGreaterThan, 0.9)
+		So(coldGoodput(t, bears, false, overloadFor), ShouldBeGreaterThan, 0.9)
 	})
 	Convey("Without the ramp the same load makes it collapse", t, func() {
 		So(coldGoodput(t, bears, true, time.Second), ShouldBeLessThan, 0.5)
 	})
 	Convey("An engine that turns cold under load without warning keeps 90% of what it bears cold", t, func() {
-		b := newBench(t, options{engine: loadEngine(100), gate: loadGate(false)})
+		b := newVirtualBench(t, options{engine: loadEngine(100), gate: loadGate(false)})
 		b.offerLoad(newTally(), "a", 3*bears, 1500*time.Millisecond)
 		So(b.gate.State(), ShouldNotEqual, frame.StateCold)
 		b.engine.SetFaults(standin.Faults{Cold: true, StayCold: true})
 		c := newTally()
 		start := time.Now()
-		b.offerLoad(c, "a", 3*bears, 5*time.Second)()
+		b.offerLoad(c, "a", 3*bears, overloadFor)()
 		share := float64(c.wholeAll()) / time.Since(start).Seconds() / bears
 		t.Logf("bears %.1f calls/s cold, goodput %.2f of it, gate %+v, engine %+v", bears, share, b.gate.Load(), b.engine.Counters())
 		So(share, ShouldBeGreaterThan, 0.9)
 	})
 }
 
-func TestTwiceTheCapacity(t *testing.T) {
+func TestTwiceTheCapacity(t *testing.T) { inprocess.Virtually(t, twiceTheCapacity) }
+
+func twiceTheCapacity(t *testing.T) {
 	Convey("Given a warm engine, a declared limit four times what it bears, and twice the load, most of it from one large account", t, func() {
 		engine := loadEngine(1)
 		engine.ColdLimit = warmBears
 		gate := admission.Config{Limit: 4 * warmBears, ColdLimit: warmBears}
-		calm := newBench(t, options{engine: engine, gate: gate})
-		bears := calm.closedLoop(warmBears, time.Second)
+		calm := newVirtualBench(t, options{engine: engine, gate: gate})
+		bears := calm.closedLoop(warmBears, measureFor)
 
-		b := newBench(t, options{engine: engine, gate: gate})
+		b := newVirtualBench(t, options{engine: engine, gate: gate})
 		c := newTally()
 		var accounts sync.WaitGroup
 		load := func(account string, share float64) {
 			accounts.Add(1)
 			go func() {
 				defer accounts.Done()
-				b.offerLoad(c, account, share*bears, 3*time.Second)()
+				b.offerLoad(c, account, share*bears, overloadFor)()
 			}()
 		}
 		start := time.Now()
--- a/request/serve/serve_test.go
+++ b/request/serve/serve_test.go
@@ -23,6 +23,7 @@
 	"github.com/rattanway/rattanway/request/admission"
 	standin "github.com/rattanway/rattanway/standin/engine"
 	"github.com/rattanway/rattanway/standin/service"
+	"github.com/rattanway/rattanway/test/inprocess"
 	"github.com/rattanway/rattanway/version/confstore"
 	"github.com/rattanway/rattanway/version/declare"
 )
@@ -44,6 +45,7 @@
 	gate    *admission.Gate
 	handler *Handler
 	agent   core.Instance
+	opener  work.Opener
 	pool    *work.Pool
 	clock   clockwork.Clock
 }
@@ -60,11 +62,33 @@
 }
 
 func newBench(t testing.TB, o options) *bench {
+	b := assemble(t, o, (*bench).listen)
+	server := work.NewServer(b.handler, eventlog.Discard())
+	listener := httptest.NewServer(server)
+	t.Cleanup(func() { server.Close(); listener.Close() })
+	b.agent = core.Instance{ID: "s1", Addr: strings.TrimPrefix(listener.URL, "http://")}
+	b.pool = work.NewPool(work.PoolConfig{})
+	t.Cleanup(b.pool.Close)
+	b.opener = b.pool
+	return b
+}
+
+// newVirtualBench is newBench without sockets, for virtual time.
+func newVirtualBench(t testing.TB, o options) *bench {
+	b := assemble(t, o, func(_ *bench, handler http.Handler) engine.Engine { return inprocess.NewEngine(handler) })
+	b.agent = core.Instance{ID: "s1"}
+	b.opener = inprocess.Opener{Agents: map[string]work.Handler{"s1": b.handler}}
+	return b
+}
+
+// assemble makes the handler and the stand-in behind it; connect returns the
+// client of the stand-in's handler.
+func assemble(t testing.TB, o options, connect func(*bench, http.Handler) engine.Engine) *bench {
 	b := &bench{t: t, holder: confstore.NewHolder(), clock: o.clock}
 	if b.clock == nil {
 		b.clock = clockwork.NewRealClock()
 	}
-	client := b.backend(o)
+	client := connect(b, b.backend(o))
 	if o.service {
 		o.serve.Service = "lots"
 	}
@@ -86,34 +110,31 @@
 		return s, err == nil
 	}
 	b.handler = New(o.serve, b.holder, b.gate, client, status, eventlog.Discard(), b.clock)
-	server := work.NewServer(b.handler, eventlog.Discard())
-	listener := httptest.NewServer(server)
-	t.Cleanup(func() { server.Close(); listener.Close() })
-	b.agent = core.Instance{ID: "s1", Addr: strings.TrimPrefix(listener.URL, "http://")}
-	b.pool = work.NewPool(work.PoolConfig{})
-	t.Cleanup(b.pool.Close)
 	b.configure(1, func(*declare.Set) {})
 	return b
 }
 
-// backend starts the stand-in and returns its client.
-func (b *bench) backend(o options) engine.Engine {
-	var handler http.Handler
+// backend makes the stand-in and returns its handler.
+func (b *bench) backend(o options) http.Handler {
 	if o.service {
 		b.service = service.New(service.Config{Name: "lots"}, clockwork.NewRealClock())
-		handler = b.service.Handler()
-	} else {
-		if o.engine.ColdLimit == 0 {
-			o.engine.Slots, o.engine.ColdLimit = 64, 64
-		}
-		b.engine = standin.New(o.engine, clockwork.NewRealClock())
-		b.engine.Preload(frame.Loaded{Model: testModel, Version: "v1", Digest: testDigest})
-		handler = b.engine.Handler()
+		return b.service.Handler()
+	}
+	if o.engine.ColdLimit == 0 {
+		o.engine.Slots, o.engine.ColdLimit = 64, 64
 	}
+	b.engine = standin.New(o.engine, clockwork.NewRealClock())
+	b.engine.Preload(frame.Loaded{Model: testModel, Version: "v1", Digest: testDigest})
+	return b.engine.Handler()
+}
+
+// listen serves the stand-in's handler on the loopback address and returns
+// its client.
+func (b *bench) listen(handler http.Handler) engine.Engine {
 	server := httptest.NewServer(handler)
 	b.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	addr := strings.TrimPrefix(server.URL, "http://")
-	if o.service {
+	if b.service != nil {
 		return engine.NewServiceHTTP(addr, "")
 	}
 	return engine.NewHTTP(addr, "")
@@ -195,7 +216,7 @@
 func (b *bench) do(kind frame.Kind, req frame.Request) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
 	defer cancel()
-	x, err := b.pool.Open(ctx, b.agent, req.ID, kind, req)
+	x, err := b.opener.Open(ctx, b.agent, req.ID, kind, req)
 	if err != nil {
 		return reply{err: err}
 	}
--- /dev/null
+++ b/test/inprocess/opener.go
@@ -0,0 +1,133 @@
+// Package inprocess connects the real relay, agents' handlers and stand-in
+// engines inside one test process, without sockets, so that a test of what
+// they decide runs in virtual time (testing/synctest) and gives the same
+// verdict on a machine of any speed.
+package inprocess
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/connection/work"
+	"github.com/rattanway/rattanway/core"
+)
+
+// buffered is the number of frames that an exchange holds in each direction;
+// a socket's buffers hold more.
+const buffered = 64
+
+var errClosed = errors.New("exchange closed")
+
+// Opener is a work.Opener that calls agents' handlers in this process. Frames
+// are encoded and decoded as on a connection.
+type Opener struct {
+	// Agents are the handlers by the id of their agent.
+	Agents map[string]work.Handler
+}
+
+var _ work.Opener = Opener{}
+
+// Open implements work.Opener.
+func (o Opener) Open(_ context.Context, agent core.Instance, _ string, kind frame.Kind, msg any) (work.Exchange, error) {
+	handler, ok := o.Agents[agent.ID]
+	if !ok {
+		return nil, errors.Errorf("no agent %q", agent.ID)
+	}
+	first, err := encoded(kind, msg)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &exchange{
+		toEntry: make(chan frame.Frame, buffered), toAgent: make(chan frame.Frame, buffered),
+		ended: ctx.Done(), cancel: cancel, served: make(chan struct{}),
+	}
+	go func() {
+		defer close(x.served)
+		if err := handler.Handle(ctx, first, agentEnd{x}); err != nil {
+			cancel()
+		}
+	}()
+	return x, nil
+}
+
+// encoded passes a message through the encoding of a connection.
+func encoded(kind frame.Kind, msg any) (frame.Frame, error) {
+	raw, err := frame.Encode(kind, msg)
+	if err != nil {
+		return frame.Frame{}, err
+	}
+	return frame.Parse(raw)
+}
+
+// exchange is one request; its methods are the entry's end.
+type exchange struct {
+	toEntry, toAgent chan frame.Frame
+	// ended is closed once one end has closed the exchange.
+	ended  <-chan struct{}
+	cancel context.CancelFunc
+	// served is closed when the handler has returned.
+	served chan struct{}
+	once   sync.Once
+}
+
+// Send implements work.Exchange.
+func (x *exchange) Send(kind frame.Kind, msg any) error { return x.send(x.toAgent, kind, msg) }
+
+func (x *exchange) send(to chan<- frame.Frame, kind frame.Kind, msg any) error {
+	f, err := encoded(kind, msg)
+	if err != nil {
+		return err
+	}
+	select {
+	case to <- f:
+		return nil
+	case <-x.ended:
+		return errClosed
+	}
+}
+
+// Receive implements work.Exchange.
+func (x *exchange) Receive(ctx context.Context) (any, error) {
+	select {
+	case f := <-x.toEntry:
+		msg, _, err := work.Decode(f)
+		return msg, err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	case <-x.ended:
+		return nil, errClosed
+	}
+}
+
+// Close implements work.Exchange.
+func (x *exchange) Close(whole bool) {
+	x.once.Do(func() {
+		if whole {
+			<-x.served
+		}
+		x.cancel()
+	})
+}
+
+// agentEnd is the agent's end of an exchange.
+type agentEnd struct{ x *exchange }
+
+// Send implements work.AgentExchange.
+func (a agentEnd) Send(kind frame.Kind, msg any) error { return a.x.send(a.x.toEntry, kind, msg) }
+
+// Receive implements work.AgentExchange.
+func (a agentEnd) Receive(ctx context.Context) (frame.Frame, error) {
+	select {
+	case f := <-a.x.toAgent:
+		return f, nil
+	case <-ctx.Done():
+		return frame.Frame{}, ctx.Err()
+	}
+}
+
+// Peer implements work.AgentExchange.
+func (a agentEnd) Peer() string { return "entry" }
