A limit that grew too far falls to the best number of calls seen

Load pattern: lasting twice the capacity of one engine whose declared limit is four times what it bears.

Cause, seen in virtual time, where nothing else moves the figures: the limit grew by a tenth, 32 to 35, where 32 are borne; it fell back one call at a time (34 after 0.65 s, 33 after 0.95 s, held 2 and 4 s) and stayed at 33, as the token rate at 32 was less than 1.1 times the one at 33.

Change: the ratio is 1.03, a false fall is taken back as before; a fall goes to the best number of calls seen, and only where none was seen to one less; a step below a number of calls that was too many goes half of the way.

--- a/request/admission/adapt.go
+++ b/request/admission/adapt.go
@@ -80,10 +80,20 @@
 	if now.Sub(g.stepStart) < settleTime+windowTime || !g.judged && !unsampled {
 		return
 	}
-	g.stepStart, g.stepTo, g.judged = now, g.limit+max(1, g.limit*stepShare), false
+	g.stepStart, g.stepTo, g.judged = now, g.limit+g.stepSize(), false
 	g.settle(now)
 }
 
+// stepSize returns the most growth in one step. Below a number of calls that
+// was too many before, a step goes half of the way; the lock is held.
+func (g *Gate) stepSize() float64 {
+	most := g.limit * stepShare
+	if left := float64(g.tooMany) - g.limit; left > 0 {
+		most = min(most, left/2)
+	}
+	return max(1, most)
+}
+
 // Observe implements Limiter.
 func (g *Gate) Observe(s Sample) {
 	g.mu.Lock()
@@ -141,6 +151,9 @@
 	best, ok := g.curve.better(now, level, g.perToken.baseline)
 	if !ok {
 		g.worse = 0
+		if level >= g.tooMany {
+			g.tooMany = 0
+		}
 		return
 	}
 	g.judged = false
@@ -149,6 +162,7 @@
 		from := g.limit
 		g.fall(float64(max(best, g.cfg.ColdLimit)), "token rate")
 		g.trial = fallTrial{from: from, rate: rate}
+		g.tooMany = level
 	}
 }
 
@@ -182,7 +196,7 @@
 	g.setLimit(g.trial.from)
 	g.trial = fallTrial{}
 	g.heldUntil = time.Time{}
-	g.curve.clear()
+	g.forgetCurve()
 	g.settle(g.clock.Now())
 	g.cfg.Log.Event(eventUndone, eventlog.Fields{"was": was, "limit": int(g.limit)})
 }
@@ -206,6 +220,12 @@
 	})
 }
 
+// forgetCurve forgets what was seen at each number of calls; the lock is held.
+func (g *Gate) forgetCurve() {
+	g.curve.clear()
+	g.tooMany = 0
+}
+
 // settle keeps samples out of the curve for a time; the lock is held.
 func (g *Gate) settle(now time.Time) {
 	g.settled = now.Add(settleTime)
@@ -228,7 +248,7 @@
 	was := int(g.limit)
 	g.setLimit(min(g.limit, float64(g.cfg.ColdLimit)))
 	g.stepTo = g.limit
-	g.curve.clear()
+	g.forgetCurve()
 	g.trial = fallTrial{}
 	g.collapses = 0
 	now := g.clock.Now()
--- a/request/admission/curve.go
+++ b/request/admission/curve.go
@@ -9,7 +9,7 @@
 	pointAge = time.Minute
 	// worseRatio is how far the rate at fewer calls must be above the present
 	// rate for the present number of calls to be too many.
-	worseRatio = 1.1
+	worseRatio = 1.03
 	// collapsedShare is the share of the rate seen before with as many calls
 	// below which the server is not the same any more.
 	collapsedShare = 0.5
@@ -52,8 +52,9 @@
 }
 
 // better returns the smaller number of calls at which the rate was highest,
-// when it was clearly above the rate at level. One call less than level, when
-// not seen yet, is taken to run at the baseline pace, in nanoseconds.
+// when it was clearly above the rate at level. Where no such number has been
+// seen, one call less than level is taken to run at the baseline pace, in
+// nanoseconds.
 func (c *curve) better(now time.Time, level int, baseline float64) (int, bool) {
 	best, rate := 0, c.points[level].rate*worseRatio
 	for calls, p := range c.points {
@@ -61,6 +62,9 @@
 			best, rate = calls, p.rate
 		}
 	}
+	if best > 0 {
+		return best, true
+	}
 	below := level - 1
 	if _, seen := c.points[below]; !seen && float64(below)/time.Duration(baseline).Seconds() > rate {
 		best = below
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -107,6 +107,9 @@
 	trial fallTrial
 	// worse counts the windows in a row in which fewer calls were better.
 	worse int
+	// tooMany is the number of calls from which the limit fell last because
+	// fewer were better; 0 when it has not or has been borne since.
+	tooMany int
 	// settled is when samples enter the curve again, and cooled when the
 	// limit may fall again after a fall to the cold limit.
 	settled time.Time
--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -247,3 +247,47 @@
 		})
 	})
 }
+
+func TestGrowthAfterAStepTooFar(t *testing.T) {
+	Convey("Given a gate in front of a server that bears as many calls as it lets in", t, func() {
+		const bears = 40
+		pace := func(calls int) time.Duration {
+			over := max(1, float64(calls)/bears)
+			return time.Duration(float64(5*time.Millisecond) * over * over * over)
+		}
+		g, clock := newGate(Config{Limit: 4 * bears, ColdLimit: bears})
+		var running []func(Outcome)
+		// turn lets a window pass at the server's pace; then half of the calls
+		// finish.
+		turn := func() {
+			for g.Load().InFlight < g.Load().Limit {
+				release, reason := g.Acquire(context.Background(), Ticket{Account: "a"})
+				So(reason, ShouldBeEmpty)
+				running = append(running, release)
+			}
+			calls := g.Load().InFlight
+			for range 2 {
+				clock.Advance(settleTime)
+				g.Observe(Sample{PerToken: pace(calls)})
+				clock.Advance(windowTime)
+				g.Observe(Sample{PerToken: pace(calls)})
+			}
+			for _, release := range running[:calls/2] {
+				release(Outcome{})
+			}
+			running = running[calls/2:]
+		}
+		turn()
+		for g.Load().Limit > bears {
+			So(g.Load().Limit, ShouldEqual, 44)
+			turn()
+		}
+
+		Convey("it falls at once to the best number of calls seen, and grows half as far the next time", func() {
+			for g.Load().Limit == bears {
+				turn()
+			}
+			So(g.Load().Limit, ShouldEqual, 42)
+		})
+	})
+}
