--- a/bench/requests/caller.go
+++ b/bench/requests/caller.go
@@ -68,14 +68,18 @@
 }
 
 func newCaller(s *Scenario) *caller {
-	dialer := &net.Dialer{Timeout: time.Second}
+	transport := s.Transport
+	if transport == nil {
+		dialer := &net.Dialer{Timeout: time.Second}
+		transport = &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1000, DisableCompression: true,
+		}
+	}
 	return &caller{
 		entries: s.Entries,
-		healthy: newHealth(s.Entries),
+		healthy: newHealth(s.Entries, s.Transport),
 		timeout: s.Timeout,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1000, DisableCompression: true,
-		}},
+		client:  &http.Client{Transport: transport},
 	}
 }
 
--- a/bench/requests/health.go
+++ b/bench/requests/health.go
@@ -18,13 +18,14 @@
 
 // health stands for the health checks of the platform's balancer.
 type health struct {
-	mu   sync.Mutex
-	down map[string]bool
-	addr []string
+	mu        sync.Mutex
+	down      map[string]bool
+	addr      []string
+	transport http.RoundTripper
 }
 
-func newHealth(addr []string) *health {
-	return &health{down: map[string]bool{}, addr: addr}
+func newHealth(addr []string, transport http.RoundTripper) *health {
+	return &health{down: map[string]bool{}, addr: addr, transport: transport}
 }
 
 // ready reports whether the last check of the entry instance succeeded.
@@ -44,7 +45,7 @@
 }
 
 func (h *health) watch(ctx context.Context, addr string) {
-	client := &http.Client{Timeout: healthTimeout}
+	client := &http.Client{Timeout: healthTimeout, Transport: h.transport}
 	for ctx.Err() == nil {
 		resp, err := client.Get("http://" + addr + readyPath)
 		if err == nil {
--- a/bench/requests/scenario.go
+++ b/bench/requests/scenario.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"os"
 	"time"
 
@@ -30,6 +31,8 @@
 	Services []string `yaml:"services"`
 	// Accounts are the callers.
 	Accounts []Account `yaml:"accounts"`
+	// Transport reaches the entry instances; nil means over the network.
+	Transport http.RoundTripper `yaml:"-"`
 }
 
 // Account is the load of one client account.
--- a/request/admission/adapt.go
+++ b/request/admission/adapt.go
@@ -25,6 +25,10 @@
 	// again after a fall; it doubles with each fall that helped.
 	minHold = 2 * time.Second
 	maxHold = 30 * time.Second
+	// holdCalls is the least hold after a fall, in the mean time for which a
+	// call holds its slot: a step too far lasts as long as the calls that it
+	// let in, so that at most a fifth of the time goes to trying.
+	holdCalls = 4
 	// holdOverShare is the growth beyond the last fall that ends doubling.
 	holdOverShare = 1.25
 	// jumpRatio is the recent mean over the baseline that tells of a server
@@ -43,6 +47,15 @@
 	firstJumpRatio = 10.0
 )
 
+// Why a limit fell.
+const (
+	// fellTokenRate is a higher token rate with fewer calls.
+	fellTokenRate = "token rate"
+	// fellBearsLess is a lower token rate than before with as many calls:
+	// what was seen with fewer calls does not hold any more either.
+	fellBearsLess = "bears less"
+)
+
 var (
 	eventLimitFell  = eventlog.Define(410, "limit-fell", logrus.WarnLevel, "The concurrency limit fell because the server slowed down or refused.")
 	eventTurnedCold = eventlog.Define(411, "turned-cold", logrus.WarnLevel, "The server turned cold; the limit is the cold limit again.")
@@ -146,7 +159,11 @@
 		g.undoFall()
 		return
 	}
-	g.curve.add(now, w.mean(), level)
+	if share := g.curve.dropped(now, rate, level); share < droppedShare {
+		g.worsened(level, int(share*float64(level)), rate, fellBearsLess)
+		return
+	}
+	g.curve.add(now, rate, level)
 	g.judged = g.busy(level)
 	best, ok := g.curve.better(now, level, g.perToken.baseline)
 	if !ok {
@@ -157,12 +174,23 @@
 		return
 	}
 	g.judged = false
+	g.worsened(level, best, rate, fellTokenRate)
+}
+
+// worsened notes a window in which so many calls as best would have been
+// better than level; after some in a row the limit falls there. The lock is
+// held.
+func (g *Gate) worsened(level, best int, rate float64, why string) {
 	g.worse++
-	if g.worse >= worseWindows {
-		from := g.limit
-		g.fall(float64(max(best, g.cfg.ColdLimit)), "token rate")
-		g.trial = fallTrial{from: from, rate: rate}
-		g.tooMany = level
+	if g.worse < worseWindows {
+		return
+	}
+	from := g.limit
+	g.fall(float64(max(best, g.cfg.ColdLimit)), why)
+	g.trial = fallTrial{from: from, rate: rate}
+	g.tooMany = level
+	if why == fellBearsLess {
+		g.curve.clear()
 	}
 }
 
@@ -211,8 +239,8 @@
 	g.setLimit(max(limit, 1))
 	g.stepTo = g.limit
 	g.fellTo = g.limit
-	g.heldUntil = now.Add(g.hold)
-	held := g.hold
+	held := min(max(g.hold, holdCalls*g.slotTime.value), maxHold)
+	g.heldUntil = now.Add(held)
 	g.worse = 0
 	g.settle(now)
 	g.cfg.Log.Event(eventLimitFell, eventlog.Fields{
--- a/request/admission/curve.go
+++ b/request/admission/curve.go
@@ -10,9 +10,21 @@
 	// worseRatio is how far the rate at fewer calls must be above the present
 	// rate for the present number of calls to be too many.
 	worseRatio = 1.03
+	// guessRatio is the same for a rate that was not seen but worked out from
+	// the baseline, which cached prompts make a little too good.
+	guessRatio = 1.1
 	// collapsedShare is the share of the rate seen before with as many calls
 	// below which the server is not the same any more.
 	collapsedShare = 0.5
+	// droppedShare is the share of the rate seen before with as many calls
+	// below which the server bears less than before. A step of a tenth too far
+	// gives 0.83 of the best rate.
+	droppedShare = 0.85
+	// nearShare is the least share of the present calls at which the rate seen
+	// before still tells: a server that bears no more than that has, at the
+	// present calls, nearShare squared of the rate (time per token grows with
+	// the third power of the overload), which is well above collapsedShare.
+	nearShare = 0.8
 )
 
 // point is the token rate at one number of calls in flight.
@@ -28,9 +40,8 @@
 	points map[int]point
 }
 
-// add notes the pace of the tokens while level calls were in flight.
-func (c *curve) add(now time.Time, pace time.Duration, level int) {
-	rate := float64(level) / pace.Seconds()
+// add notes the token rate while level calls were in flight.
+func (c *curve) add(now time.Time, rate float64, level int) {
 	p, ok := c.points[level]
 	if ok && now.Sub(p.seen) < pointAge {
 		rate = p.rate + pointWeight*(rate-p.rate)
@@ -42,13 +53,26 @@
 }
 
 // collapsed reports whether the rate is far below what was seen before with
-// as many calls.
+// about as many calls.
 func (c *curve) collapsed(now time.Time, pace time.Duration, level int) bool {
+	rate := float64(level) / pace.Seconds()
+	for calls, p := range c.points {
+		near := calls <= level && float64(calls) >= nearShare*float64(level)
+		if near && now.Sub(p.seen) < pointAge && rate < collapsedShare*p.rate {
+			return true
+		}
+	}
+	return false
+}
+
+// dropped returns the token rate as a share of what was seen before with as
+// many calls, 1 when nothing was.
+func (c *curve) dropped(now time.Time, rate float64, level int) float64 {
 	p, ok := c.points[level]
 	if !ok || now.Sub(p.seen) >= pointAge {
-		return false
+		return 1
 	}
-	return float64(level)/pace.Seconds() < collapsedShare*p.rate
+	return rate / p.rate
 }
 
 // better returns the smaller number of calls at which the rate was highest,
@@ -66,7 +90,8 @@
 		return best, true
 	}
 	below := level - 1
-	if _, seen := c.points[below]; !seen && float64(below)/time.Duration(baseline).Seconds() > rate {
+	guess := float64(below) / time.Duration(baseline).Seconds()
+	if _, seen := c.points[below]; !seen && guess > c.points[level].rate*guessRatio {
 		best = below
 	}
 	return best, best > 0
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -78,6 +78,7 @@
 // admitted is a call that holds a slot.
 type admitted struct {
 	ticket Ticket
+	since  time.Time
 	shed   bool
 }
 
@@ -124,6 +125,8 @@
 	fellTo    float64
 	heldUntil time.Time
 	hold      time.Duration
+	// slotTime is the mean time for which a call holds its slot.
+	slotTime mean
 }
 
 var _ Limiter = (*Gate)(nil)
@@ -254,7 +257,7 @@
 
 // track remembers the call of a slot already given; the lock is held.
 func (g *Gate) track(t Ticket) *admitted {
-	a := &admitted{ticket: t}
+	a := &admitted{ticket: t, since: g.clock.Now()}
 	g.calls = append(g.calls, a)
 	return a
 }
@@ -278,6 +281,9 @@
 		defer g.mu.Unlock()
 		busy := g.busy(g.inFlight())
 		g.drop(a)
+		if !o.Cancelled && !a.shed {
+			g.slotTime.add(g.clock.Since(a.since))
+		}
 		g.learn(o, busy && !a.shed)
 		g.hand()
 	}
--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -291,3 +291,75 @@
 		})
 	})
 }
+
+func TestServerThatBearsLessThanBefore(t *testing.T) {
+	Convey("Given a gate in front of a server that bore twelve long calls", t, func() {
+		bears := 12.0
+		pace := func(calls int) time.Duration {
+			over := max(1, float64(calls)/bears)
+			return time.Duration(float64(50*time.Millisecond) * over * over * over)
+		}
+		g, clock := newGate(Config{Limit: 12, ColdLimit: 8})
+		fill := func() {
+			for g.Load().InFlight < g.Load().Limit {
+				_, reason := g.Acquire(context.Background(), Ticket{Account: "a"})
+				So(reason, ShouldBeEmpty)
+			}
+		}
+		// window lets one window pass in which no call ends.
+		window := func() {
+			clock.Advance(settleTime)
+			g.Observe(Sample{PerToken: pace(g.Load().InFlight)})
+			clock.Advance(windowTime)
+			g.Observe(Sample{PerToken: pace(g.Load().InFlight)})
+		}
+		grow := func() {
+			for range 4 {
+				g.mu.Lock()
+				g.learn(Outcome{}, true)
+				g.mu.Unlock()
+			}
+		}
+		for g.Load().Limit < 11 {
+			fill()
+			window()
+			grow()
+		}
+
+		Convey("its limit falls at once by as much as it bears less, past what was seen with fewer calls", func() {
+			fill()
+			window()
+			window()
+			bears = 9
+			window()
+			So(g.Load().Limit, ShouldEqual, 11)
+			window()
+			So(g.Load().Limit, ShouldEqual, 8)
+		})
+		Convey("a rate far below the one seen with a call less means that it has turned cold", func() {
+			fill()
+			bears = 6
+			window()
+			window()
+			So(g.Load().Limit, ShouldEqual, 8)
+		})
+	})
+}
+
+func TestStepTooFarWithLongCalls(t *testing.T) {
+	Convey("Given a gate whose calls hold their slots for three seconds", t, func() {
+		g, clock := newGate(Config{Limit: 16, ColdLimit: 8})
+		for range 8 {
+			release, _ := g.Acquire(context.Background(), Ticket{Account: "a"})
+			clock.Advance(3 * time.Second)
+			release(Outcome{})
+		}
+		Convey("the limit does not grow for four times as long after a fall", func() {
+			g.mu.Lock()
+			g.limit = 9
+			g.fall(8, fellTokenRate)
+			g.mu.Unlock()
+			So(g.heldUntil.Sub(clock.Now()), ShouldEqual, holdCalls*3*time.Second)
+		})
+	})
+}
--- a/request/admission/latency.go
+++ b/request/admission/latency.go
@@ -17,6 +17,8 @@
 	riseWeight = 0.005
 	// recentWeight is the weight of a new mean in the recent mean.
 	recentWeight = 0.5
+	// meanWeight is the weight of a new time in a mean.
+	meanWeight = 0.1
 	// baselineMeans is the number of means before jumps are judged.
 	baselineMeans = 5
 	// maxBaselineStep bounds a mean that enters the baseline, as a multiple
@@ -98,3 +100,15 @@
 
 // settle forgets the recent mean after the limit has been changed.
 func (l *latency) settle() { l.recent = l.baseline }
+
+// mean is a weighted mean of times that follows the newest ones.
+type mean struct{ value time.Duration }
+
+// add takes one time in; the first is taken as it is.
+func (m *mean) add(d time.Duration) {
+	if m.value == 0 {
+		m.value = d
+		return
+	}
+	m.value += time.Duration(meanWeight * float64(d-m.value))
+}
--- /dev/null
+++ b/test/inprocess/cluster_test.go
@@ -0,0 +1,220 @@
+package inprocess
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rattanway/rattanway/bench/requests"
+	"github.com/rattanway/rattanway/connection/engine"
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/connection/registry"
+	"github.com/rattanway/rattanway/connection/work"
+	"github.com/rattanway/rattanway/core"
+	"github.com/rattanway/rattanway/process/eventlog"
+	"github.com/rattanway/rattanway/request/admission"
+	"github.com/rattanway/rattanway/request/relay"
+	"github.com/rattanway/rattanway/request/routing"
+	"github.com/rattanway/rattanway/request/serve"
+	standin "github.com/rattanway/rattanway/standin/engine"
+	"github.com/rattanway/rattanway/version/confstore"
+	"github.com/rattanway/rattanway/version/declare"
+)
+
+const (
+	entries       = 4
+	perDataCentre = 3
+	engineLimit   = 48
+	engineCold    = 8
+	testModel     = "herbs"
+	testDigest    = core.Digest("sha256:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa")
+	// reportEvery is the agents' heartbeat.
+	reportEvery = time.Second
+	tokenTime   = 50 * time.Millisecond
+	// streamTokens is the mean length of an answer; it lasts 3 s.
+	streamTokens = 60
+	streamTime   = streamTokens * tokenTime
+)
+
+// dataCentres and their regions.
+var dataCentres = []struct{ name, region string }{
+	{"palermo", "west"}, {"trapani", "west"}, {"catania", "east"},
+}
+
+// servers is the number of servers of a cluster.
+var servers = perDataCentre * len(dataCentres)
+
+// server is an engine with its agent.
+type server struct {
+	id, dataCentre, region string
+	engine                 *standin.Engine
+	gate                   *admission.Gate
+	handler                *serve.Handler
+}
+
+// cluster is four entry instances before nine engines with their agents, all
+// in one process.
+type cluster struct {
+	t         *testing.T
+	holder    *confstore.Holder
+	servers   []*server
+	entries   []*registry.Registry
+	transport Transport
+	stop      context.CancelFunc
+}
+
+// newCluster starts a cluster of engines like cfg. The agents are told that
+// their servers bear cold calls at the start.
+func newCluster(t *testing.T, cfg standin.Config, cold int) *cluster {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &cluster{t: t, holder: confstore.NewHolder(), transport: Transport{}, stop: stop}
+	agents := map[string]work.Handler{}
+	for _, dc := range dataCentres {
+		for n := range perDataCentre {
+			s := &server{id: fmt.Sprintf("gpu-%s-%d", dc.name, n+1), dataCentre: dc.name, region: dc.region}
+			c.startServer(s, cfg, cold)
+			agents[s.id] = s.handler
+		}
+	}
+	c.holder.Offer(&declare.Snapshot{Number: 1, Set: c.declarations(cold)})
+	for n := range entries {
+		c.startEntry(n, Opener{Agents: agents})
+	}
+	go c.reports(ctx)
+	return c
+}
+
+func (c *cluster) startServer(s *server, cfg standin.Config, cold int) {
+	clock := clockwork.NewRealClock()
+	s.engine = standin.New(cfg, clock)
+	s.engine.Preload(frame.Loaded{Model: testModel, Version: "v1", Digest: testDigest})
+	client := NewEngine(s.engine.Handler())
+	s.gate = admission.New(admission.Config{Limit: engineLimit, ColdLimit: cold, Metrics: metrics.NewRegistry()}, clock)
+	monitor := engine.NewMonitor(client, 0, eventlog.Discard(), clock)
+	ctx, stop := context.WithCancel(context.Background())
+	c.t.Cleanup(stop)
+	go func() { _ = monitor.Run(ctx) }()
+	status := func() (engine.Status, bool) {
+		status, _, ok := monitor.Status()
+		return status, ok
+	}
+	s.handler = serve.New(serve.Config{Self: core.Instance{ID: s.id, DataCentre: s.dataCentre}, Incarnation: "i1"},
+		c.holder, s.gate, client, status, eventlog.Discard(), clock)
+	c.servers = append(c.servers, s)
+}
+
+func (c *cluster) startEntry(n int, opener work.Opener) {
+	self := core.Instance{ID: fmt.Sprintf("entry-%d", n+1), DataCentre: dataCentres[n%3].name, Region: dataCentres[n%3].region}
+	reg := registry.New()
+	clock := clockwork.NewRealClock()
+	router := routing.New(routing.Config{Self: self, Seed: uint64(n + 1)}, reg, c.holder, eventlog.Discard(), clock)
+	r := relay.New(relay.Config{Self: self}, c.holder, router, opener, nil, eventlog.Discard(), clock)
+	e := echo.New()
+	r.Register(e)
+	e.GET("/readyz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	c.entries = append(c.entries, reg)
+	c.transport[self.ID] = e
+}
+
+func (c *cluster) declarations(cold int) *declare.Set {
+	set := declare.NewSet()
+	for _, dc := range dataCentres {
+		set.DataCentres[dc.name] = &declare.DataCentre{Name: dc.name, Region: dc.region}
+	}
+	for _, s := range c.servers {
+		set.BackendServers[s.id] = &declare.BackendServer{Name: s.id, DataCentre: s.dataCentre, Limit: engineLimit, ColdLimit: cold}
+	}
+	set.Models[testModel] = &declare.Model{Name: testModel, Version: "v1", Replicas: servers}
+	set.Versions["v1"] = &declare.Version{Name: "v1", Model: testModel, Manifest: testDigest}
+	for _, account := range []string{"erbe", "small-1", "small-2", "small-3"} {
+		set.ClientAccounts[account] = &declare.ClientAccount{Name: account, KeyHash: core.DigestOf([]byte(account + "-key"))}
+	}
+	return set
+}
+
+// reports lets every agent report to every entry instance, not all at once,
+// until ctx ends.
+func (c *cluster) reports(ctx context.Context) {
+	for {
+		for _, s := range c.servers {
+			for _, reg := range c.entries {
+				reg.Put(s.registered())
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(reportEvery / time.Duration(len(c.servers))):
+			}
+		}
+	}
+}
+
+// registered is what an entry instance knows after a report.
+func (s *server) registered() registry.Server {
+	load := s.gate.Load()
+	return registry.Server{
+		Instance:    core.Instance{ID: s.id, Role: core.RoleAgent, DataCentre: s.dataCentre, Region: s.region},
+		Incarnation: "i1",
+		Report: frame.Report{
+			State: s.gate.State(), Limit: load.Limit, InFlight: load.InFlight, Queued: load.Queued, Config: 1,
+			Loaded: []frame.Loaded{{Model: testModel, Version: "v1", Digest: testDigest}},
+		},
+		Heard: time.Now(),
+	}
+}
+
+// load returns a scenario of one account.
+func (c *cluster) load(name string, d time.Duration, rate float64, tokens requests.Range) *requests.Scenario {
+	s := &requests.Scenario{
+		Name: name, Seed: 5, Duration: d, Transport: c.transport,
+		Accounts: []requests.Account{{
+			Name: "erbe", Key: "erbe-key", Rate: rate, Model: testModel, Stream: 1,
+			Tokens: tokens, PromptWords: requests.Range{Min: 5, Max: 50},
+		}},
+	}
+	for n := range entries {
+		s.Entries = append(s.Entries, fmt.Sprintf("entry-%d", n+1))
+	}
+	return s
+}
+
+// under runs a scenario and returns the share of the capacity of so many
+// slots that the engines spend on tokens from a time after the start on.
+// event, unless nil, happens then.
+func (c *cluster) under(s *requests.Scenario, slots int, after time.Duration, event func()) (*requests.Result, float64) {
+	var sent int
+	counted := make(chan struct{})
+	go func() {
+		defer close(counted)
+		<-time.After(after)
+		if event != nil {
+			event()
+		}
+		before := c.tokens()
+		<-time.After(countFor)
+		sent = c.tokens() - before
+	}()
+	result, err := requests.Run(context.Background(), s)
+	<-counted
+	c.stop()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	capacity := float64(slots) * countFor.Seconds() / tokenTime.Seconds()
+	return result, float64(sent) / capacity
+}
+
+// tokens sums the tokens that all engines have sent.
+func (c *cluster) tokens() int {
+	n := 0
+	for _, s := range c.servers {
+		n += s.engine.Counters().Tokens
+	}
+	return n
+}
--- a/test/inprocess/engine.go
+++ b/test/inprocess/transport.go
@@ -15,14 +15,19 @@
 // NewEngine returns the client of an engine whose HTTP handler runs in this
 // process.
 func NewEngine(handler http.Handler) engine.Engine {
-	return engine.NewHTTPOver(roundTripper{handler})
+	return engine.NewHTTPOver(Transport{"engine": handler})
 }
 
-// roundTripper calls a handler instead of a server.
-type roundTripper struct{ handler http.Handler }
+// Transport is an http.RoundTripper that calls the handler of a host instead
+// of a server.
+type Transport map[string]http.Handler
 
 // RoundTrip implements http.RoundTripper.
-func (t roundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	handler, ok := t[req.URL.Host]
+	if !ok {
+		return nil, errors.Errorf("no host %q", req.URL.Host)
+	}
 	ctx, cancel := context.WithCancel(req.Context())
 	body, err := bodyOf(req)
 	if err != nil {
@@ -39,7 +44,7 @@
 	go func() {
 		defer cancel()
 		defer stop()
-		t.handler.ServeHTTP(w, served)
+		handler.ServeHTTP(w, served)
 		w.WriteHeader(http.StatusOK)
 		_ = writer.Close()
 	}()
