After an outage of the origin each piece is read once

An owner that cannot read the origin says so at once and the next owner is asked; when the origin is back, the owner and its stand-ins all read, and an agent that waited more than 200 ms for such an answer read the origin itself.

Change: for 3 s after a failed read an owner first asks the other owners for what they hold or are reading from the origin (new tier "reading"); a stand-in asks the owners before it once more after 50 ms; an owner that answers that it failed is not taken for one that does not answer.

--- a/version/spread/client.go
+++ b/version/spread/client.go
@@ -61,10 +61,13 @@
 	tierFleet
 	// tierHeld gives only what is held or already on its way.
 	tierHeld
+	// tierReading gives only what is held or being read from the origin.
+	tierReading
 )
 
 var tierNames = map[tier]string{
 	tierReader: "reader", tierDataCentre: "data-centre", tierRegion: "region", tierFleet: "fleet", tierHeld: "held",
+	tierReading: "reading",
 }
 
 // parseTier returns the tier that a peer names; tierHeld for any other word.
@@ -76,6 +79,8 @@
 		return tierRegion
 	case tierNames[tierFleet]:
 		return tierFleet
+	case tierNames[tierReading]:
+		return tierReading
 	}
 	return tierHeld
 }
--- a/version/spread/fetcher.go
+++ b/version/spread/fetcher.go
@@ -139,11 +139,15 @@
 
 	counters counters
 
-	mu       sync.Mutex
-	flying   map[core.Digest]int
-	suspects map[string]time.Time
-	holders  map[core.Digest]*holderList
-	versions map[core.Digest]*fetch
+	mu     sync.Mutex
+	flying map[core.Digest]int
+	// reading counts the reads of the origin under way, and originFailure is
+	// the time of the last one that failed.
+	reading       map[core.Digest]int
+	originFailure time.Time
+	suspects      map[string]time.Time
+	holders       map[core.Digest]*holderList
+	versions      map[core.Digest]*fetch
 }
 
 // counters are the metrics of a Swarm.
@@ -193,6 +197,7 @@
 			corrupt:     count("corrupt-chunks"),
 		},
 		flying:   map[core.Digest]int{},
+		reading:  map[core.Digest]int{},
 		suspects: map[string]time.Time{},
 		holders:  map[core.Digest]*holderList{},
 		versions: map[core.Digest]*fetch{},
--- a/version/spread/fleet_test.go
+++ b/version/spread/fleet_test.go
@@ -1,10 +1,14 @@
 package spread
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/rattanway/rattanway/version/manifest"
 )
 
 func TestFetchDrawsTheOriginOnceForAllRegions(t *testing.T) {
@@ -41,4 +45,24 @@
 		So(fetchPart(agents[1:], agents, d), ShouldBeNil)
 		So(wholeEverywhere(agents[1:], m), ShouldBeTrue)
 	})
+
+	Convey("Given an origin that is down at first and then sends chunk after chunk, each is read once", t, func() {
+		origin := newFakeOrigin()
+		d, m := origin.publish(t, "v1", 48)
+		back := time.Now().Add(400 * time.Millisecond)
+		origin.fault = func(name string, body []byte) ([]byte, error) {
+			if strings.HasPrefix(name, manifest.ObjectName("")) {
+				return body, nil
+			}
+			if time.Now().Before(back) {
+				return nil, errors.New("connection refused")
+			}
+			<-time.After(5 * time.Millisecond)
+			return body, nil
+		}
+		agents := startAgents(t, 24, origin, sites, oneCopy)
+		So(fetchAll(agents, d), ShouldBeNil)
+		So(wholeEverywhere(agents, m), ShouldBeTrue)
+		So(copies(origin, m), ShouldBeLessThanOrEqualTo, 1.25)
+	})
 }
--- a/version/spread/handler.go
+++ b/version/spread/handler.go
@@ -118,8 +118,11 @@
 // await returns the object once it is held, bringing it when the tier says
 // so, or the status that tells the peer what to do.
 func (s *Swarm) await(ctx context.Context, o object, t tier) ([]byte, int) {
-	if t == tierHeld {
-		return s.awaitArrival(ctx, o)
+	switch t {
+	case tierHeld:
+		return s.awaitArrival(ctx, o, s.onItsWay)
+	case tierReading:
+		return s.awaitArrival(ctx, o, s.isReading)
 	}
 	body, err := s.get(ctx, o, t)
 	switch {
@@ -131,12 +134,12 @@
 	return nil, http.StatusServiceUnavailable
 }
 
-// awaitArrival waits for an object that is on its way.
-func (s *Swarm) awaitArrival(ctx context.Context, o object) ([]byte, int) {
+// awaitArrival waits for an object while coming says that it comes.
+func (s *Swarm) awaitArrival(ctx context.Context, o object, coming func(core.Digest) bool) ([]byte, int) {
 	if body, ok := s.store.Get(o.digest); ok {
 		return body, http.StatusOK
 	}
-	if !s.onItsWay(o.digest) {
+	if !coming(o.digest) {
 		return nil, http.StatusNotFound
 	}
 	select {
--- a/version/spread/holders.go
+++ b/version/spread/holders.go
@@ -37,7 +37,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.holderList(d)
-	if asked == tierHeld || list.admitted < s.cfg.Fanout || len(s.slots) == 0 {
+	if asked == tierHeld || asked == tierReading || list.admitted < s.cfg.Fanout || len(s.slots) == 0 {
 		select {
 		case s.slots <- struct{}{}:
 			list.admitted++
--- a/version/spread/obtain.go
+++ b/version/spread/obtain.go
@@ -137,8 +137,9 @@
 			continue
 		}
 		s.log.Fail(eventFleetOwner, err, eventlog.Fields{"version": o.version, "chunk": o.digest, "peer": p.Addr})
-		if s.clock.Since(asked) > promptly {
-			// The origin may be gone soon: its owner is not waited for.
+		if s.clock.Since(asked) > promptly && !errors.Is(err, errFailing) {
+			// The origin may be gone soon: an owner that does not answer is
+			// not waited for.
 			return s.fromOrigin(ctx, o)
 		}
 	}
@@ -278,6 +279,11 @@
 // fromOrigin reads an object from the weight store, and while that cannot be
 // read, from any neighbour that holds it.
 func (s *Swarm) fromOrigin(ctx context.Context, o object) ([]byte, error) {
+	if s.originFailedLately() {
+		if body, err := s.fromReaders(ctx, o); err == nil {
+			return body, nil
+		}
+	}
 	var last error
 	for range corruptTries + 1 {
 		body, err := s.readOrigin(ctx, o)
@@ -292,6 +298,7 @@
 	if errors.Is(last, ErrFull) || ctx.Err() != nil {
 		return nil, last
 	}
+	s.originFailed()
 	s.log.Fail(eventOrigin, last, eventlog.Fields{"version": o.version, "chunk": o.digest})
 	if body, err := s.fromNeighbours(ctx, o); err == nil {
 		return body, nil
@@ -301,6 +308,8 @@
 
 // readOrigin reads an object from the weight store once.
 func (s *Swarm) readOrigin(ctx context.Context, o object) ([]byte, error) {
+	s.beginReading(o.digest)
+	defer s.endReading(o.digest)
 	start := s.clock.Now()
 	name := manifest.ChunkName(o.digest)
 	if o.manifest {
