Agents take the list of agents from two entry instances near by

Load pattern: a large fleet whose agents come and go (36 servers added within 5 s to 52, two versions, 14 entry instances).

Each of 14 entry instances sent each of 88 agents the whole list of agents, about 100 bytes each, at every change; an agent kept 14 copies.

Ruled out: the counts that entry instances exchange (about 0.02 GB by their size and rate); the weights themselves (one copy per region and version, about 0.015 GB).

Change: an agent asks two connected entry instances of its own data centre for the list (others where it is connected to none there) and gets versions and addresses alone from the rest; when no list comes it keeps the last one. The store drops a version that is not newer than what the server holds, once a newer one is declared: nobody wants it.

TestChooseLists; TestFleet covers the messages.

--- a/connection/fleet/fleet_test.go
+++ b/connection/fleet/fleet_test.go
@@ -160,3 +160,37 @@
 		}), ShouldBeTrue)
 	})
 }
+
+func TestChooseLists(t *testing.T) {
+	Convey("Given entry instances of three data centres", t, func() {
+		connected := map[string]string{
+			"e1": "palermo", "e2": "palermo", "e3": "palermo", "e4": "catania", "e5": "catania", "e6": "trapani",
+		}
+		Convey("an agent takes the list from two of its own", func() {
+			chosen := chooseLists("a1", "palermo", connected)
+			So(chosen, ShouldHaveLength, 2)
+			for addr := range chosen {
+				So(connected[addr], ShouldEqual, "palermo")
+			}
+		})
+		Convey("one of its own is enough", func() {
+			So(chooseLists("a1", "trapani", connected), ShouldResemble, map[string]bool{"e6": true})
+		})
+		Convey("others stand in where it is connected to none there", func() {
+			delete(connected, "e6")
+			So(chooseLists("a1", "trapani", connected), ShouldHaveLength, 2)
+		})
+		Convey("agents choose differently", func() {
+			firsts := map[string]bool{}
+			for _, agent := range []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"} {
+				for addr := range chooseLists(agent, "palermo", connected) {
+					firsts[addr] = true
+				}
+			}
+			So(firsts, ShouldHaveLength, 3)
+		})
+		Convey("without a connection there is no list", func() {
+			So(chooseLists("a1", "palermo", nil), ShouldBeEmpty)
+		})
+	})
+}
--- a/connection/fleet/hub.go
+++ b/connection/fleet/hub.go
@@ -28,6 +28,8 @@
 
 // HubConfig holds what a Hub needs.
 type HubConfig struct {
+	// DataCentre is the entry instance's.
+	DataCentre string
 	// Holder gives the declared weights.
 	Holder *catalog.Holder
 	// Agent is told what an agent says of the server at an address; nil when
@@ -54,6 +56,8 @@
 	hello frame.AgentHello
 	state frame.AgentState
 	conn  *frame.Conn
+	// asked receives when the agent begins or ceases to want the list.
+	asked chan struct{}
 }
 
 // NewHub returns a Hub.
@@ -68,7 +72,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	a := &agent{conn: conn}
+	a := &agent{conn: conn, asked: make(chan struct{}, 1)}
 	if err := conn.Expect(frame.KindAgentHello, &a.hello, h.due()); err != nil {
 		h.cfg.Log.Fail(eventAgentGone, err, eventlog.Fields{"peer": conn.Peer()})
 		return
@@ -146,6 +150,12 @@
 func (h *Hub) report(a *agent, s frame.AgentState) {
 	h.mu.Lock()
 	same := a.state.Loading == s.Loading && maps.Equal(a.state.Weights, s.Weights)
+	if a.state.List != s.List {
+		select {
+		case a.asked <- struct{}{}:
+		default:
+		}
+	}
 	a.state = s
 	current := h.agents[a.hello.Server] == a
 	h.mu.Unlock()
@@ -164,14 +174,12 @@
 func (h *Hub) tell(ctx context.Context, a *agent) {
 	var sent *catalog.Snapshot
 	for {
-		h.mu.Lock()
-		joined := h.changed
-		h.mu.Unlock()
+		joined := h.joined()
 		declared := h.cfg.Holder.Changed()
 		snapshot := h.cfg.Holder.Current()
 		var err error
 		if sent == nil || !sameWants(sent, snapshot) {
-			err = a.conn.Send(frame.KindFleet, h.fleet(snapshot))
+			err = a.conn.Send(frame.KindFleet, h.fleet(snapshot, a))
 			sent = snapshot
 		} else {
 			err = a.conn.Send(frame.KindNotice, struct{}{})
@@ -180,7 +188,7 @@
 			_ = a.conn.Close()
 			return
 		}
-		if !h.awaitChange(ctx, joined, declared, &sent) {
+		if !h.awaitChange(ctx, a, joined, declared, &sent) {
 			return
 		}
 	}
@@ -188,8 +196,9 @@
 
 // awaitChange waits until there is something to send: a change, of which those
 // that follow at once are gathered, or a heartbeat. It forgets what was sent when
-// agents came or went, and returns false when ctx ends.
-func (h *Hub) awaitChange(ctx context.Context, joined, declared <-chan struct{}, sent **catalog.Snapshot) bool {
+// the agent asked, or when agents came or went and it wants the list, and
+// returns false when ctx ends.
+func (h *Hub) awaitChange(ctx context.Context, a *agent, joined, declared <-chan struct{}, sent **catalog.Snapshot) bool {
 	beat := h.cfg.Clock.After(heartbeat)
 	for {
 		select {
@@ -197,7 +206,14 @@
 			return false
 		case <-beat:
 			return true
+		case <-a.asked:
+			*sent = nil
+			return true
 		case <-joined:
+			if !h.wantsList(a) {
+				joined = h.joined()
+				continue
+			}
 			*sent = nil
 		case <-declared:
 			if sameWants(*sent, h.cfg.Holder.Current()) {
@@ -215,6 +231,20 @@
 	}
 }
 
+// joined returns a channel that is closed when agents come or go.
+func (h *Hub) joined() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// wantsList reports whether an agent asked for the list of agents.
+func (h *Hub) wantsList(a *agent) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return a.state.List
+}
+
 // sameWants reports whether two snapshots ask the same of agents.
 func sameWants(a, b *catalog.Snapshot) bool {
 	if a.Config == nil || b.Config == nil {
@@ -239,9 +269,9 @@
 	return true
 }
 
-// fleet describes what agents are to do.
-func (h *Hub) fleet(s *catalog.Snapshot) frame.Fleet {
-	f := frame.Fleet{Entries: h.cfg.Entries()}
+// fleet describes what an agent is to do.
+func (h *Hub) fleet(s *catalog.Snapshot, to *agent) frame.Fleet {
+	f := frame.Fleet{Entries: h.cfg.Entries(), DataCentre: h.cfg.DataCentre}
 	now := h.cfg.Clock.Now()
 	newest := map[string]int{}
 	if s.Config != nil {
@@ -262,6 +292,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !to.state.List {
+		return f
+	}
 	for _, a := range h.agents {
 		f.Agents = append(f.Agents, frame.FleetAgent{
 			Instance: a.hello.Self, Server: a.hello.Server, Holds: holds(a.state, newest),
--- a/connection/fleet/links.go
+++ b/connection/fleet/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -52,11 +53,18 @@
 	changed chan struct{}
 	known   map[string]bool
 	found   chan string
+	// connected are the entry instances that answer, with their data centres,
+	// and lists those of them that send the list of agents.
+	connected map[string]string
+	lists     map[string]bool
 }
 
 // NewLinks returns Links that connect once they run.
 func NewLinks(cfg LinksConfig) *Links {
-	return &Links{cfg: cfg, changed: make(chan struct{}), known: map[string]bool{}, found: make(chan string, 64)}
+	return &Links{
+		cfg: cfg, changed: make(chan struct{}), known: map[string]bool{}, found: make(chan string, 64),
+		connected: map[string]string{},
+	}
 }
 
 // Publish tells all entry instances what the server holds.
@@ -64,10 +72,43 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state = s
+	l.signal()
+}
+
+// signal wakes the senders; l.mu is held.
+func (l *Links) signal() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
+// answers notes that an entry instance of a data centre answers.
+func (l *Links) answers(addr, dataCentre string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if old, ok := l.connected[addr]; !ok || old != dataCentre {
+		l.connected[addr] = dataCentre
+		l.choose()
+	}
+}
+
+// gone notes that an entry instance does not answer any more.
+func (l *Links) gone(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.connected, addr)
+	l.choose()
+}
+
+// choose chooses who sends the list of agents; l.mu is held.
+func (l *Links) choose() {
+	self := l.cfg.Hello.Self
+	lists := chooseLists(self.ID, self.DataCentre, l.connected)
+	if !maps.Equal(lists, l.lists) {
+		l.lists = lists
+		l.signal()
+	}
+}
+
 // Run keeps the connections until ctx ends.
 func (l *Links) Run(ctx context.Context) error {
 	var all sync.WaitGroup
@@ -106,6 +147,7 @@
 	for ctx.Err() == nil {
 		start := l.cfg.Clock.Now()
 		err := l.session(ctx, addr)
+		l.gone(addr)
 		l.cfg.Fleet(addr, nil)
 		if l.cfg.Clock.Since(start) > steadyAfter {
 			pause, lost = redialLeast, false
@@ -139,7 +181,7 @@
 	l.cfg.Log.Event(eventEntry, eventlog.Fields{"entry": addr})
 	ended := make(chan struct{})
 	defer close(ended)
-	go l.tell(conn, ended)
+	go l.tell(conn, addr, ended)
 	for {
 		f, err := conn.Receive(l.cfg.Clock.Now().Add(silentAfter))
 		if err != nil {
@@ -155,15 +197,17 @@
 		for _, other := range fleet.Entries {
 			l.learn(other)
 		}
+		l.answers(addr, fleet.DataCentre)
 		l.cfg.Fleet(addr, &fleet)
 	}
 }
 
 // tell sends the state whenever it changes, and as a heartbeat.
-func (l *Links) tell(conn *frame.Conn, ended <-chan struct{}) {
+func (l *Links) tell(conn *frame.Conn, addr string, ended <-chan struct{}) {
 	for {
 		l.mu.Lock()
 		state, changed := l.state, l.changed
+		state.List = l.lists[addr]
 		l.mu.Unlock()
 		if err := conn.Send(frame.KindAgentState, state); err != nil {
 			_ = conn.Close()
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -67,6 +67,8 @@
 	Weights map[string]int `cbor:"1,keyasint,omitempty"`
 	// Loading says that the server takes no new work while it loads.
 	Loading bool `cbor:"2,keyasint,omitempty"`
+	// List asks for the list of agents from now on.
+	List bool `cbor:"3,keyasint,omitempty"`
 }
 
 // WantedWeights is a version that agents are to bring to their servers.
@@ -101,8 +103,11 @@
 	// its link carries in bytes per second.
 	Origin     string `cbor:"2,keyasint"`
 	OriginRate int64  `cbor:"3,keyasint"`
-	// Agents are the agents that hold or need them.
-	Agents []FleetAgent `cbor:"4,keyasint"`
+	// Agents are the agents that hold or need them; only an agent that asked
+	// for the list is told.
+	Agents []FleetAgent `cbor:"4,keyasint,omitempty"`
 	// Entries are the addresses of the entry instances that are known.
 	Entries []string `cbor:"5,keyasint"`
+	// DataCentre is the sender's.
+	DataCentre string `cbor:"6,keyasint"`
 }
--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -65,6 +65,8 @@
 
 	mu     sync.Mutex
 	fleets map[string]frame.Fleet
+	// agents is the newest list of agents.
+	agents []spread.Peer
 }
 
 // RunAgent runs an agent until a signal ends it.
@@ -204,6 +206,12 @@
 			}
 		}
 	}
+	if len(t.Agents) == 0 {
+		// No entry instance sends the list just now; without one the agent
+		// would take itself for the owner of every piece.
+		t.Agents = a.agents
+	}
+	a.agents = t.Agents
 	return t
 }
 
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -100,7 +100,7 @@
 		Token: o.Token, Holder: e.holder, Declared: e.declared, Servers: e.servers, Loads: e.desk, Log: log, Clock: clock,
 	})
 	e.hub = fleet.NewHub(fleet.HubConfig{
-		Holder: e.holder, Agent: e.desk.Agent, Entries: e.exchange.Known, Log: log, Clock: clock,
+		DataCentre: s.DataCentre, Holder: e.holder, Agent: e.desk.Agent, Entries: e.exchange.Known, Log: log, Clock: clock,
 	})
 	e.handler = forward.New(forward.Config{
 		Headers: platform.Headers(), Holder: e.holder, Desk: e.desk, Pool: e.pool,
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -394,19 +394,18 @@
 	return l.target.sources()
 }
 
-// keptVersions is how many versions of a model are kept: the one that serves,
-// and two that are on their way.
-const keptVersions = 3
-
-// retained returns what the store keeps: the newest versions of each model.
+// retained returns what the store keeps: of each model the newest version, and
+// those before it that are newer than the one that the server holds. An older
+// one is wanted by nobody any more.
 func (l *Loader) retained() []*manifest.Manifest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var keep []*manifest.Manifest
 	for model, d := range l.declared {
+		newest := len(*d) - 1
 		for i, w := range *d {
 			k := key{model, w.Version}
-			if i < len(*d)-keptVersions {
+			if i < newest && w.Version <= l.state.Weights[model] {
 				delete(l.fetched, k)
 				continue
 			}
