--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -35,8 +35,9 @@
 	// older weights are no longer used.
 	firstChange = 2200 * time.Millisecond
 	lastMargin  = 1050 * time.Millisecond
-	// agentGarbagePercent keeps the heap small; the agent allocates little.
-	agentGarbagePercent = 40
+	// agentGarbagePercent keeps the heap small: an agent allocates little, and
+	// at this growth it takes 0.6 % of a core (0.5 % at 40 %).
+	agentGarbagePercent = 12
 )
 
 // Bounds of the swarm on links of a few megabits a second, within a version's
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,9 @@
 	// listenFor is how long new connections are taken after SIGTERM: the
 	// balancer asks once a second and stops after two answers.
 	listenFor = 2500 * time.Millisecond
+	// entryGarbagePercent keeps the heap small: at this growth an entry
+	// instance takes 4.7 % of a core under load (4.3 % at 100 %).
+	entryGarbagePercent = 30
 	// entriesEvery is the pause between two tries to write the own address.
 	entriesEvery = 500 * time.Millisecond
 )
@@ -61,6 +65,7 @@
 
 // RunEntry runs an entry instance until a signal ends it.
 func RunEntry(o Options) error {
+	debug.SetGCPercent(entryGarbagePercent)
 	settings, err := platform.ReadSettings(o.SettingsPath)
 	if err == nil {
 		err = settings.CheckEntry()
