An event whose line fills the buffer is read whole

A line of 1,024 bytes filled the buffer, its newline came as a slice of its own and passed for the empty line that ends an event; the event was passed on without its end, and the real empty line as an event by itself. The client's bytes were right, but a stream that broke there would have been resumed inside an event.

Ruled out: the size of the buffer as the cure (a line may be of any length).

Change: the empty line is looked for from the start of the line.

--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -62,17 +62,19 @@
 // the stream it returns io.EOF, and a part of an event is errPartEvent.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
-	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+	for start := 0; ; {
+		part, err := reader.ReadSlice('\n')
+		event = append(event, part...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, bufio.ErrBufferFull): // the line goes on
 		case errors.Is(err, io.EOF) && len(event) > 0:
 			return nil, errPartEvent
 		case err != nil:
 			return nil, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		case len(bytes.TrimRight(event[start:], "\r\n")) == 0:
 			return event, nil
+		default:
+			start = len(event)
 		}
 		if len(event) > maxEventBytes {
 			return nil, errEventLong
