A call refused in a rollout is given to the other version; limits that stand

Load pattern: new weights over nine servers that have not warmed, each with room for one version.

Half way, that version stands on four or five servers of 8 places each, while 25 to 38 calls run; calls were refused as "full" though servers of the other version had places, and as "digest" when the version was being unloaded.

Ruled out: moving the pin earlier or later (at half, both versions have the most places).

A limit that has not grown within the time of a call now falls only after four bad windows and is held for 2 s; one that has just grown as before.

--- a/request/admission/adapt.go
+++ b/request/admission/adapt.go
@@ -25,8 +25,10 @@
 	// again after a fall; it doubles with each fall that helped.
 	minHold = 2 * time.Second
 	maxHold = 30 * time.Second
-	// holdCalls is the least hold after a fall, in the mean time for which a
-	// call holds its slot: a step too far lasts as long as the calls that it
+	// leastTry is the least time for which a step of growth is on trial.
+	leastTry = time.Second
+	// holdCalls is the least hold after a step of growth that failed, in the
+	// mean time for which a call holds its slot: a step too far lasts as long as the calls that it
 	// let in, so that at most a fifth of the time goes to trying.
 	holdCalls = 4
 	// holdOverShare is the growth beyond the last fall that ends doubling.
@@ -40,6 +42,9 @@
 	// worseWindows is the number of windows in a row in which fewer calls must
 	// have been better for the limit to fall.
 	worseWindows = 2
+	// standingWindows is the same for a limit that stands: a hiccup of the
+	// machine must not count.
+	standingWindows = 4
 	// coldWindows is the number of collapsed windows that tell of the same.
 	coldWindows = 2
 	// firstJumpRatio is the same for first tokens, whose times differ with
@@ -97,6 +102,12 @@
 	g.settle(now)
 }
 
+// trying reports whether the limit has grown within the time of a call, so
+// that a worse pace is likely the growth's doing; the lock is held.
+func (g *Gate) trying() bool {
+	return g.limit < float64(g.cfg.Limit) && g.clock.Since(g.stepStart) <= max(g.slotTime.value, leastTry)
+}
+
 // stepSize returns the most growth in one step. Below a number of calls that
 // was too many before, a step goes half of the way; the lock is held.
 func (g *Gate) stepSize() float64 {
@@ -182,7 +193,7 @@
 // held.
 func (g *Gate) worsened(level, best int, rate float64, why string) {
 	g.worse++
-	if g.worse < worseWindows {
+	if g.worse < worseWindows || !g.trying() && g.worse < standingWindows {
 		return
 	}
 	from := g.limit
@@ -239,7 +250,10 @@
 	g.setLimit(max(limit, 1))
 	g.stepTo = g.limit
 	g.fellTo = g.limit
-	held := min(max(g.hold, holdCalls*g.slotTime.value), maxHold)
+	held := g.hold
+	if g.trying() {
+		held = min(max(held, holdCalls*g.slotTime.value), maxHold)
+	}
 	g.heldUntil = now.Add(held)
 	g.worse = 0
 	g.settle(now)
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -64,6 +64,8 @@
 		"a call that may run only once is released to the agent that holds a slot for it")
 	eventGone = eventlog.Define(517, "caller-gone", logrus.InfoLevel,
 		"the caller went away before its answer ended")
+	eventOtherVersion = eventlog.Define(518, "call-other-version", logrus.InfoLevel,
+		"while a new version comes in, a call that the servers of one version refused is given to those of the other")
 )
 
 // Config holds the settings of a Relay.
--- a/request/relay/repeat.go
+++ b/request/relay/repeat.go
@@ -30,6 +30,8 @@
 	mayHaveRun bool
 	// brokeOff is when the last attempt failed.
 	brokeOff time.Time
+	// switches counts how often the call was given to another version.
+	switches int
 	// refused is the newest refusal by an agent.
 	refused *frame.Refuse
 	// giveBack returns the retry that the running attempt took from the
@@ -136,11 +138,51 @@
 	}
 	late := age >= config.RefuseAfter
 	if rep.refusals >= config.MaxRefusals || late && rep.relay.picker.Short(rep.call.query(rep.tried)) {
+		if rep.otherVersion(ctx) {
+			return nil
+		}
 		return rep.problem("backend servers refused the call: " + string(refused.Reason))
 	}
 	return nil
 }
 
+// otherVersion gives a call that was refused, and of which no part has run, to
+// another version of its model, the first time at once and then after a pause,
+// while it is young.
+func (rep *repetition) otherVersion(ctx context.Context) bool {
+	if rep.mayHaveRun || rep.call.service != "" {
+		return false
+	}
+	pinned := rep.call.request.Digest
+	other, ok := rep.relay.picker.Alternative(rep.call.request.Model, pinned)
+	if !ok || rep.switches > 0 && !rep.pauseWhileYoung(ctx) {
+		return false
+	}
+	rep.switches++
+	rep.call.request.Digest = other
+	rep.refusals = 0
+	clear(rep.tried)
+	rep.relay.log.Event(eventOtherVersion, eventlog.Fields{
+		"request": rep.call.id, "from": pinned.Short(), "to": other.Short(), "refused": rep.refused.Reason,
+	})
+	return true
+}
+
+// pauseWhileYoung waits a little; it reports false when the call has waited
+// long enough for a slot.
+func (rep *repetition) pauseWhileYoung(ctx context.Context) bool {
+	r := rep.relay
+	if r.clock.Since(rep.call.arrived) >= r.config.DueWithin {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.clock.After(r.config.ResumePause):
+		return true
+	}
+}
+
 // awaitConfig waits a little for a configuration that is newer here than at
 // the agents; it reports false when the call has waited long enough.
 func (r *Relay) awaitConfig(ctx context.Context, c *call) bool {
--- a/request/routing/pin.go
+++ b/request/routing/pin.go
@@ -31,6 +31,28 @@
 	return best, true
 }
 
+// Alternative implements Picker. It answers a rollout over servers that have no
+// room for two versions: the declared version and the one that it replaces
+// share the servers until every replica holds the declared one.
+func (r *Router) Alternative(model string, pinned core.Digest) (core.Digest, bool) {
+	snapshot := r.holder.Current()
+	m, ok := snapshot.Set.Models[model]
+	if !ok {
+		return "", false
+	}
+	declared := snapshot.Set.Versions[m.Version]
+	holders := r.holders(snapshot.Set, model)
+	if declared == nil || holders[declared.Manifest] >= m.Replicas {
+		return "", false
+	}
+	if pinned != declared.Manifest {
+		return declared.Manifest, holders[declared.Manifest] > 0
+	}
+	delete(holders, pinned)
+	other := mostHeld(snapshot.Set, m, holders)
+	return other, other != ""
+}
+
 // holders counts, by digest, the servers that can answer for model.
 func (r *Router) holders(set *declare.Set, model string) map[core.Digest]int {
 	count := map[core.Digest]int{}
--- a/request/routing/router_test.go
+++ b/request/routing/router_test.go
@@ -162,6 +162,21 @@
 		So(pin(), ShouldEqual, newDigest)
 		_, ok := g.router.Pin("none")
 		So(ok, ShouldBeFalse)
+
+		Convey("both versions may answer until every replica holds the new one", func() {
+			other, ok := g.router.Alternative("herbs", newDigest)
+			So(ok, ShouldBeTrue)
+			So(other, ShouldEqual, oldDigest)
+			other, ok = g.router.Alternative("herbs", oldDigest)
+			So(ok, ShouldBeTrue)
+			So(other, ShouldEqual, newDigest)
+			g.put("trapani-1", newDigest, ready)
+			g.put("catania-1", newDigest, ready)
+			_, ok = g.router.Alternative("herbs", newDigest)
+			So(ok, ShouldBeFalse)
+			_, ok = g.router.Alternative("none", newDigest)
+			So(ok, ShouldBeFalse)
+		})
 	})
 }
 
--- a/request/routing/routing.go
+++ b/request/routing/routing.go
@@ -28,6 +28,10 @@
 	// Pin returns the manifest digest from which new calls to model are
 	// answered now, or false when no server can answer.
 	Pin(model string) (core.Digest, bool)
+	// Alternative returns another version of model from which a call that the
+	// pinned one has no place for may be answered: while a new version comes
+	// in, both stand on a part of the servers.
+	Alternative(model string, pinned core.Digest) (core.Digest, bool)
 	// Short reports whether no server that could take the call has a free
 	// slot, as far as this entry instance knows.
 	Short(q Query) bool
