--- a/request/admission/adapt.go
+++ b/request/admission/adapt.go
@@ -28,8 +28,9 @@
 	// leastTry is the least time for which a step of growth is on trial.
 	leastTry = time.Second
 	// holdCalls is the least hold after a step of growth that failed, in the
-	// mean time for which a call holds its slot: a step too far lasts as long as the calls that it
-	// let in, so that at most a fifth of the time goes to trying.
+	// mean time for which a call holds its slot: a step too far lasts as long
+	// as the calls that it let in, so that at most a fifth of the time goes to
+	// trying.
 	holdCalls = 4
 	// holdOverShare is the growth beyond the last fall that ends doubling.
 	holdOverShare = 1.25
