The frozen agent is stopped before it gets its go

SIGSTOP takes effect some time after it was sent; the agent still took the go, dialled the service, was stopped in the dial, and after the wake the dial's 2 s were over: not sent, so "down". Both say truly that the call has not run; the ledger said so too.

Ruled out: a go that is accepted after the hold (the check of the hold comes after the go is read; the refusal came from the dial, the only other place that says "down").

Change: the test waits until every thread of the agent is stopped before it sends the go. What it wants is unchanged.

Conclusion: the test's order is what it says now.

--- a/test/faults/agent_once_test.go
+++ b/test/faults/agent_once_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -75,6 +78,25 @@
 	})
 }
 
+// halt stops a process and waits until every thread of it has stopped: the
+// signal takes effect some time after it was sent.
+func (c *cluster) halt(name string) {
+	c.t.Helper()
+	c.signal(name, syscall.SIGSTOP)
+	threads := fmt.Sprintf("/proc/%d/task/*/status", c.procs[name].cmd.Process.Pid)
+	c.eventually(name+" is stopped", func() bool {
+		paths, err := filepath.Glob(threads)
+		c.must(err)
+		for _, path := range paths {
+			status, err := os.ReadFile(path)
+			if err != nil || !strings.Contains(string(status), "State:\tT") {
+				return false
+			}
+		}
+		return len(paths) > 0
+	})
+}
+
 // ask asks whether the first attempt of key ran.
 func (d *direct) ask(key string) *frame.Answer {
 	x := d.open("ask", frame.KindAsk, frame.Ask{ID: "ask", Key: key, Attempt: 1})
@@ -102,7 +124,7 @@
 		d := c.direct(server)
 
 		x := d.offer("frozen")
-		c.signal(server, syscall.SIGSTOP)
+		c.halt(server)
 		So(x.Send(frame.KindGo, frame.Go{ID: "offer-frozen"}), ShouldBeNil)
 		<-time.After(serve.DefaultHold + time.Second)
 		c.signal(server, syscall.SIGCONT)
