The agent is stopped before calls are given up at it

As in TestAgentOnceOnlyAcrossSignals, SIGSTOP had been sent but had not taken effect when the first of the calls to be given up came; that one was started before the freeze.

Ruled out: the call "new" counted twice (it is refused before the engine while the agent is not confirmed); a start after the wake (the agent's connection was closed by then, which it reads first). Neither was seen in a log: the cause is read from the code and the like failure before.

Change: the test waits until the agent is stopped, as the other one does.

Conclusion: the test's order is what it says now.

--- a/test/faults/agent_process_test.go
+++ b/test/faults/agent_process_test.go
@@ -100,7 +100,7 @@
 
 		Convey("calls given up while it is frozen are not started when it wakes", func() {
 			started := c.counters(server).Started
-			c.signal(server, syscall.SIGSTOP)
+			c.halt(server)
 			for i := range engineCold {
 				id := fmt.Sprint("late-", i)
 				d.open(id, frame.KindRequest, completion(id, digest, 5)).Close(false)
