The relay's two pauses before another try are one

Ruled out: joining the counters of flights and of reads of the origin in version/spread as well (the same three lines, but two meanings; left).

Change: Relay.pauseUntil takes the longest age. Behaviour is the same.

Figures: go test -race ./request/relay ./internal/lint and -run RolloutOver ./test/inprocess pass; vet and staticcheck are clean.

Conclusion: one copy.

--- a/request/relay/repeat.go
+++ b/request/relay/repeat.go
@@ -125,7 +125,7 @@
 		}
 		return nil
 	}
-	if refused.Reason == frame.ReasonStale && rep.relay.awaitConfig(ctx, rep.call) {
+	if refused.Reason == frame.ReasonStale && rep.relay.pauseUntil(ctx, rep.call, config.ConfigWait) {
 		clear(rep.tried)
 		return nil
 	}
@@ -155,7 +155,7 @@
 	}
 	pinned := rep.call.request.Digest
 	other, ok := rep.relay.picker.Alternative(rep.call.request.Model, pinned)
-	if !ok || rep.switches > 0 && !rep.pauseWhileYoung(ctx) {
+	if !ok || rep.switches > 0 && !rep.relay.pauseUntil(ctx, rep.call, rep.relay.config.DueWithin) {
 		return false
 	}
 	rep.switches++
@@ -168,25 +168,11 @@
 	return true
 }
 
-// pauseWhileYoung waits a little; it reports false when the call has waited
-// long enough for a slot.
-func (rep *repetition) pauseWhileYoung(ctx context.Context) bool {
-	r := rep.relay
-	if r.clock.Since(rep.call.arrived) >= r.config.DueWithin {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-r.clock.After(r.config.ResumePause):
-		return true
-	}
-}
-
-// awaitConfig waits a little for a configuration that is newer here than at
-// the agents; it reports false when the call has waited long enough.
-func (r *Relay) awaitConfig(ctx context.Context, c *call) bool {
-	if r.clock.Since(c.arrived) >= r.config.ConfigWait {
+// pauseUntil waits a little before a call is offered again, such as for a
+// configuration that is newer here than at the agents; it reports false when
+// the call has reached the age of longest.
+func (r *Relay) pauseUntil(ctx context.Context, c *call, longest time.Duration) bool {
+	if r.clock.Since(c.arrived) >= longest {
 		return false
 	}
 	select {
--- a/request/relay/runonce.go
+++ b/request/relay/runonce.go
@@ -126,7 +126,7 @@
 		if run.retryAfter > 0 {
 			after = run.retryAfter
 		}
-		if run.refused == frame.ReasonStale && r.awaitConfig(ctx, call) {
+		if run.refused == frame.ReasonStale && r.pauseUntil(ctx, call, r.config.ConfigWait) {
 			clear(tried)
 		}
 		if ctx.Err() != nil || errors.Is(err, once.ErrTable) {
