Streams leave a server that changes its weights

Change: dispatch.Move looks for a place elsewhere for a resumable stream 0.7 s after its server began to load, before every waiting request; the stream goes on there after its last event. Half of the allowed repeats stay for failures. TestMoveUnderNewWeights and TestStreamLeavesAServerThatLoads replay it; the second failed without the change (no request reached the other server).

--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -58,7 +58,7 @@
 	mu      sync.Mutex
 	servers map[string]*serverState
 	peers   map[string]*peerLoad
-	agents  map[string]frame.AgentState
+	agents  map[string]agentView
 	repeats map[string]*Repeats
 	waiting []*waiter
 	turn    int
@@ -78,6 +78,13 @@
 	heard   time.Time
 }
 
+// agentView is what an agent says of its server.
+type agentView struct {
+	state frame.AgentState
+	// loadingSince is when it was first heard that the server loads.
+	loadingSince time.Time
+}
+
 // waiter is a request that waits for a place.
 type waiter struct {
 	demand *Demand
@@ -90,7 +97,7 @@
 	return &Desk{
 		cfg: cfg, holder: holder, clock: clock,
 		servers: map[string]*serverState{}, peers: map[string]*peerLoad{},
-		agents: map[string]frame.AgentState{}, repeats: map[string]*Repeats{},
+		agents: map[string]agentView{}, repeats: map[string]*Repeats{},
 	}
 }
 
@@ -176,16 +183,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w.given {
-		place := <-w.place
-		if ctx.Err() == nil {
-			return place, nil
-		}
-		d.state(place.Server.ID).running--
-		d.pump()
-		return Place{}, err
+	if w.given && ctx.Err() == nil {
+		return <-w.place, nil
 	}
-	d.waiting = slices.DeleteFunc(d.waiting, func(other *waiter) bool { return other == w })
+	d.withdraw(w)
 	return Place{}, err
 }
 
@@ -304,12 +305,12 @@
 		return 0, true
 	}
 	version := v.Weights[q.Model]
-	if state, ok := d.agents[v.Addr]; ok {
-		if state.Loading {
+	if agent, ok := d.agents[v.Addr]; ok {
+		if agent.state.Loading {
 			return 0, false
 		}
 		// The agent reads its own server; the listed entry is older.
-		version = state.Weights[q.Model]
+		version = agent.state.Weights[q.Model]
 	}
 	if version == 0 || q.Version != 0 && q.Version != version {
 		return 0, false
@@ -381,7 +382,11 @@
 		delete(d.agents, server)
 		return
 	}
-	d.agents[server] = *state
+	since := d.agents[server].loadingSince
+	if !d.agents[server].state.Loading {
+		since = d.clock.Now()
+	}
+	d.agents[server] = agentView{*state, since}
 	d.pump()
 }
 
--- a/request/dispatch/repeats.go
+++ b/request/dispatch/repeats.go
@@ -17,6 +17,10 @@
 // their own windows, which do not begin together.
 const repeatMargin = 0.8
 
+// spareShare is the part of the limits that repeats which could be done without
+// may use; the rest is kept for requests that fail.
+const spareShare = 0.5
+
 // repeatSlots is the number of parts a window is counted in.
 const repeatSlots = 20
 
@@ -52,16 +56,29 @@
 
 // Take counts a repeat if one of entries entry instances may send it now.
 func (r *Repeats) Take(now time.Time, entries int) bool {
-	i := r.advance(now)
+	used, allowed := r.use(now, entries)
+	if used+1 > allowed {
+		return false
+	}
+	r.repeated[r.advance(now)]++
+	return true
+}
+
+// Spare reports whether there are repeats left beyond those that are kept for
+// requests that fail.
+func (r *Repeats) Spare(now time.Time, entries int) bool {
+	used, allowed := r.use(now, entries)
+	return used+1 <= spareShare*allowed
+}
+
+// use returns how many repeats were sent within the window and how many may be.
+func (r *Repeats) use(now time.Time, entries int) (used, allowed float64) {
+	r.advance(now)
 	var first, repeated int
 	for k := range repeatSlots {
 		first += r.first[k]
 		repeated += r.repeated[k]
 	}
-	allowed := repeatMargin * (r.limits.Ratio*float64(first) + r.limits.Slack/float64(max(1, entries)))
-	if float64(repeated)+1 > allowed {
-		return false
-	}
-	r.repeated[i]++
-	return true
+	allowed = repeatMargin * (r.limits.Ratio*float64(first) + r.limits.Slack/float64(max(1, entries)))
+	return float64(repeated), allowed
 }
--- a/request/dispatch/suspicion.go
+++ b/request/dispatch/suspicion.go
@@ -23,11 +23,14 @@
 	Broken
 	// Stalled says that the server fell silent.
 	Stalled
+	// Moved says that the stream goes on at another server, as this one
+	// changes its weights; it says nothing of the server.
+	Moved
 )
 
 // String returns the outcome's name in log lines.
 func (o Outcome) String() string {
-	return [...]string{"served", "ended", "full", "misdirected", "unreachable", "broken", "stalled"}[o]
+	return [...]string{"served", "ended", "full", "misdirected", "unreachable", "broken", "stalled", "moved"}[o]
 }
 
 // Times for which a server is passed over after an outcome. The first ones
@@ -74,7 +77,7 @@
 		s.row++
 	case Broken:
 		s.fail()
-	case Ended:
+	case Ended, Moved:
 	}
 }
 
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/version/catalog"
 )
 
@@ -269,6 +270,48 @@
 	})
 }
 
+func TestStreamLeavesAServerThatLoads(t *testing.T) {
+	Convey("A stream whose server changes its weights goes on at another server, whole and in order", t, func() {
+		const last = 30
+		everyEvent := func(a arrival, _ int) string {
+			from, _ := strconv.Atoi(a.req.Header.Get("Last-Event-Id"))
+			if from > 0 {
+				all := ""
+				for id := from + 1; id <= last; id++ {
+					all += event(id)
+				}
+				return streamHead(a) + chunk(all) + endOfChunks
+			}
+			_, _ = io.WriteString(a.conn, streamHead(a))
+			for id := 1; id <= last; id++ {
+				<-time.After(50 * time.Millisecond)
+				if _, err := io.WriteString(a.conn, chunk(event(id))); err != nil {
+					return ""
+				}
+			}
+			return endOfChunks
+		}
+		a, b := newServer(t, "s1", everyEvent), newServer(t, "s2", everyEvent)
+		g := newRig(t, nil, a, b)
+		time.AfterFunc(100*time.Millisecond, func() {
+			for _, s := range []*server{a, b} {
+				if s.count() > 0 {
+					g.desk.Agent(s.listener.Addr().String(), &frame.AgentState{Loading: true})
+				}
+			}
+		})
+		r := g.ask(t, http.MethodPost, "/resumable/", "prompt")
+		So(r.err, ShouldBeNil)
+		want := ""
+		for id := 1; id <= last; id++ {
+			want += event(id)
+		}
+		So(r.body, ShouldEqual, want)
+		So(a.count(), ShouldEqual, 1)
+		So(b.count(), ShouldEqual, 1)
+	})
+}
+
 func TestClientLeaves(t *testing.T) {
 	Convey("A server's connection ends within half a second of its client's", t, func() {
 		ended := make(chan time.Time, 1)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -89,6 +89,8 @@
 	// sends counts sendings, ran the servers that may have run the request.
 	sends int
 	ran   map[string]bool
+	// moved is the place at which a stream goes on that left its server.
+	moved *dispatch.Place
 	// started says that the answer's header has been passed on.
 	started bool
 	// gone says that the client does not take its answer.
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -14,8 +14,9 @@
 // again.
 func (c *call) run(ctx context.Context) {
 	c.cfg.Desk.First(c.demand.Service)
+	defer c.giveBack()
 	for {
-		place, err := c.cfg.Desk.Acquire(ctx, &c.demand)
+		place, err := c.place(ctx)
 		if err != nil {
 			c.giveUp(ctx, err)
 			return
@@ -37,6 +38,25 @@
 	}
 }
 
+// place returns the place that the request was given when it left its server,
+// or acquires one.
+func (c *call) place(ctx context.Context) (dispatch.Place, error) {
+	if c.moved != nil {
+		place := *c.moved
+		c.moved = nil
+		return place, nil
+	}
+	return c.cfg.Desk.Acquire(ctx, &c.demand)
+}
+
+// giveBack returns a place that was not used, as the client left or the time is
+// over.
+func (c *call) giveBack() {
+	if c.moved != nil {
+		c.cfg.Desk.Release(*c.moved, dispatch.Ended)
+	}
+}
+
 // finish notes a request that was answered whole.
 func (c *call) finish(place dispatch.Place) {
 	now := c.cfg.Clock.Now()
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -91,7 +91,7 @@
 		c.ran[place.Server.ID] = true
 		return c.ended(ctx, watch.result(result{outcome: dispatch.Broken, err: err, arrived: true, mayHaveRun: true}))
 	}
-	r := c.take(resp, place, watch)
+	r := c.take(ctx, resp, place, watch)
 	r.status = resp.StatusCode
 	if r.err != nil {
 		conn.Close()
@@ -113,7 +113,7 @@
 }
 
 // take judges an answer and passes it on.
-func (c *call) take(resp *http.Response, place dispatch.Place, watch *watch) result {
+func (c *call) take(ctx context.Context, resp *http.Response, place dispatch.Place, watch *watch) result {
 	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(c.cfg.Headers.NotRun) != "" {
 		return c.notRun(resp)
 	}
@@ -128,7 +128,7 @@
 		return r
 	}
 	if c.streams(resp) {
-		return c.stream(resp, watch)
+		return c.stream(ctx, resp, place, watch)
 	}
 	whole, err := readAnswer(resp)
 	if err != nil {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -25,6 +26,7 @@
 	errPartEvent = errors.New("stream ends within an event")
 	errEventLong = errors.New("event is too long")
 	errEventGap  = errors.New("event does not follow the last one")
+	errMoved     = errors.New("server changes its weights")
 )
 
 // streams reports whether an answer is a stream of events.
@@ -34,9 +36,11 @@
 }
 
 // stream passes whole events on as they come.
-func (c *call) stream(resp *http.Response, watch *watch) result {
+func (c *call) stream(ctx context.Context, resp *http.Response, place dispatch.Place, watch *watch) result {
 	r := result{outcome: dispatch.Broken, arrived: true, mayHaveRun: true}
 	reader := bufio.NewReaderSize(resp.Body, 1<<10)
+	m := mover{call: c, from: place}
+	defer m.cancel()
 	for {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -55,6 +59,10 @@
 			}
 			return r
 		}
+		if m.leaves(ctx) {
+			r.outcome, r.err, r.repeatTaken = dispatch.Moved, errMoved, true
+			return r
+		}
 	}
 }
 
