Agents ask for 12 pieces and send 2 at once

Cause: an agent asked for 6 pieces in random order; those that the origin had not sent yet held its requests, so the agents' links were half empty for the first second (32 to 70 transfers in 0.2 s, 115 possible) and a copy for each of 24 servers took 2.9 to 4.0 s of 2.0 s that the links need. Change: 12 asked for, 2 sent at once, paced at the link's rate and not 0.95.

--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -27,9 +27,9 @@
 	// storeBytes bounds the weights in memory: a copy is 2.4 MB, and two may
 	// be there at once.
 	storeBytes = 16 << 20
-	// linkShare is the part of the machine's link that weights may use; live
-	// answers pass over the same link.
-	linkShare = 0.95
+	// linkShare is the part of the machine's link that weights may use. Live
+	// answers take about 3 % of the same link, which shares itself.
+	linkShare = 1.0
 	// firstChange and lastMargin place the servers' changes to new weights:
 	// from the age at which pieces have usually arrived to shortly before
 	// older weights are no longer used.
@@ -49,9 +49,9 @@
 	peerSuspect   = 2 * time.Second
 	pieceRetry    = 100 * time.Millisecond
 	pieceFlight   = 30 * time.Second
-	piecesAtOnce  = 6
+	piecesAtOnce  = 12
 	ownedAtOnce   = 6
-	uploadsAtOnce = 3
+	uploadsAtOnce = 2
 )
 
 // agent is the assembled agent.
