Agents' connections to each other use smaller buffers

Ruled out: fewer connections, which slow the spreading down. Change: 8 KB for reading (bodies are read past the buffer) and 4 KB for writing (a request has 500 bytes).

--- a/version/spread/client.go
+++ b/version/spread/client.go
@@ -40,8 +40,8 @@
 const (
 	idleTimeout      = 10 * time.Second
 	maxIdlePerPeer   = 4
-	readBufferBytes  = 32 << 10
-	writeBufferBytes = 32 << 10
+	readBufferBytes  = 8 << 10
+	writeBufferBytes = 4 << 10
 )
 
 // tier says what the asked agent does for an object that it does not hold.
