--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -29,7 +29,7 @@
 	storeBytes = 16 << 20
 	// linkShare is the part of the machine's link that weights may use. Live
 	// answers take about 3 % of the same link, which shares itself.
-	linkShare = 1.0
+	linkShare = 0.95
 	// firstChange and lastMargin place the servers' changes to new weights:
 	// from the age at which pieces have usually arrived to shortly before
 	// older weights are no longer used.
@@ -49,9 +49,9 @@
 	peerSuspect   = 2 * time.Second
 	pieceRetry    = 100 * time.Millisecond
 	pieceFlight   = 30 * time.Second
-	piecesAtOnce  = 12
+	piecesAtOnce  = 6
 	ownedAtOnce   = 6
-	uploadsAtOnce = 2
+	uploadsAtOnce = 3
 )
 
 // agent is the assembled agent.
