Servers that send nothing get no further requests

Cause: a server behind a link that has become narrow, or without power, went on getting requests until one of them was given up after 1.2 s; those that were sent waited in the link and some arrived after their clients had left (GONE, see the commit before the last but one). Ruled out: a fixed bound on silence, which would refuse requests of slow services while places are free; the bound follows the request's objective. Change: dispatch.Quiet: after 1.5 objectives (0.5 s at least) without a byte, while requests of this entry instance run there, nothing more is sent. TestQuietServerBehindANarrowLink replays it: 31 of 100 requests are sent at most, and before all of them.

--- a/request/dispatch/desk.go
+++ b/request/dispatch/desk.go
@@ -72,6 +72,7 @@
 	cold      ColdRate
 	burst     Burst
 	suspicion Suspicion
+	quiet     Quiet
 }
 
 // peerLoad is what another entry instance runs.
@@ -227,6 +228,13 @@
 	d.pump()
 }
 
+// Heard notes that the server of a place sent something.
+func (d *Desk) Heard(p Place) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state(p.Server.ID).quiet.Heard(d.clock.Now())
+}
+
 // pump gives free places to waiting requests; d.mu is held.
 func (d *Desk) pump() {
 	for d.giveOne() {
@@ -262,6 +270,9 @@
 	}
 	p := all[i].Place
 	st := d.state(p.Server.ID)
+	if st.running == 0 {
+		st.quiet.Heard(d.clock.Now())
+	}
 	st.running++
 	st.cold.Sent(d.clock.Now())
 	st.burst.Sent(d.clock.Now())
@@ -294,7 +305,8 @@
 			Limit:   limit,
 			Penalty: st.suspicion.Penalty(),
 		}
-		blocked := st.suspicion.Barred(now) || !st.burst.Allows(now, limit-c.Place.Running, d.heardEntries(now))
+		blocked := st.suspicion.Barred(now) || st.quiet.Barred(now, st.running, q.Objective) ||
+			!st.burst.Allows(now, limit-c.Place.Running, d.heardEntries(now))
 		if service != nil && service.ColdPerSecond > 0 && v.Cold(now) {
 			blocked = blocked || !st.cold.Allows(now, service.ColdPerSecond, d.entries())
 		}
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -91,6 +91,7 @@
 		c.ran[place.Server.ID] = true
 		return c.ended(ctx, watch.result(result{outcome: dispatch.Broken, err: err, arrived: true, mayHaveRun: true}))
 	}
+	c.cfg.Desk.Heard(place)
 	r := c.take(ctx, resp, place, watch)
 	r.status = resp.StatusCode
 	if r.err != nil {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -53,6 +53,7 @@
 			return r
 		}
 		watch.progressed()
+		c.cfg.Desk.Heard(place)
 		if r.err = c.passOn(resp, event); r.err != nil {
 			if c.gone {
 				r.outcome = dispatch.Ended
