A table is asked of a peer only when the store does not bring it

With 3,001 servers the table of servers changes all the time and each of 100 entry instances is always a little behind some other; an instance that was behind a peer in two messages 400 ms apart asked it for the whole table, about a megabyte, though it had long passed the first revision. Ruled out: lost connections as the first cause (they follow the load). Change: exchange.lag asks only when the revision that a peer named first is still missing after 400 ms, and one peer at a time. Before: TestLagOfALargeDeployment with the old rule: 117 tables asked for in a minute by one peer's messages.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -27,9 +27,6 @@
 	// silentAfter how long the other side waits for one.
 	heartbeat   = 500 * time.Millisecond
 	silentAfter = 2 * time.Second
-	// behindFor is how long a table may be older than another instance's
-	// before it is asked for: usually the store brings it first.
-	behindFor = 400 * time.Millisecond
 )
 
 // redial are the pauses before a peer is dialled again.
@@ -78,11 +75,16 @@
 	mu    sync.Mutex
 	known map[string]bool
 	found chan string
+	// asked is when each table was last asked for.
+	asked map[catalog.Table]time.Time
 }
 
 // New returns an Exchange that dials once it runs.
 func New(cfg Config) *Exchange {
-	return &Exchange{cfg: cfg, known: map[string]bool{cfg.Self.Addr: true}, found: make(chan string, 256)}
+	return &Exchange{
+		cfg: cfg, known: map[string]bool{cfg.Self.Addr: true}, found: make(chan string, 256),
+		asked: map[catalog.Table]time.Time{},
+	}
 }
 
 // Learn begins to dial the entry instance at addr, unless it is known.
@@ -264,7 +266,7 @@
 
 // listen takes in what another instance tells.
 func (x *Exchange) listen(conn *frame.Conn, peer string) error {
-	behind := map[catalog.Table]time.Time{}
+	behind := map[catalog.Table]*lag{catalog.TableDeclared: {}, catalog.TableServers: {}}
 	for {
 		f, err := conn.Receive(x.due())
 		if err != nil {
@@ -291,25 +293,15 @@
 	}
 }
 
-// ask asks for the tables that have been older here for a while.
-func (x *Exchange) ask(conn *frame.Conn, peer string, l frame.Loads, behind map[catalog.Table]time.Time) error {
+// ask asks for the tables of which the store does not bring what the peer knows.
+func (x *Exchange) ask(conn *frame.Conn, peer string, l frame.Loads, behind map[catalog.Table]*lag) error {
 	var want frame.Want
 	now := x.cfg.Clock.Now()
 	for t, theirs := range map[catalog.Table]uint64{
 		catalog.TableDeclared: l.Declared, catalog.TableServers: l.Servers,
 	} {
-		ours := x.follower(t).Changed()
-		if theirs <= ours {
-			delete(behind, t)
-			continue
-		}
-		since, ok := behind[t]
-		if !ok {
-			behind[t] = now
-		}
-		if ours == 0 || ok && now.Sub(since) >= behindFor {
+		if behind[t].missing(x.follower(t).Changed(), theirs, now) && x.mayAsk(t, now) {
 			want.Tables = append(want.Tables, t)
-			behind[t] = now
 		}
 	}
 	if len(want.Tables) == 0 {
