A repeat is counted when a stream begins to look for another server

Cause: found in reading the change: a stream that was given a place when no repeat was left kept the place at the other server until it ended. Ruled out: giving the place back and waiting again, which would take turns with nothing to gain. Change: Repeats.TakeSpare counts the repeat at the start, so that a place that was given is always taken; the event's text names streams that go on elsewhere.

--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -27,8 +27,8 @@
 	// storeBytes bounds the weights in memory: a copy is 2.4 MB, and two may
 	// be there at once.
 	storeBytes = 16 << 20
-	// linkShare is the part of the machine's link that weights may use. Live
-	// answers take about 3 % of the same link, which shares itself.
+	// linkShare is the part of the machine's link that weights may use; live
+	// answers pass over the same link.
 	linkShare = 0.95
 	// firstChange and lastMargin place the servers' changes to new weights:
 	// from the age at which pieces have usually arrived to shortly before
--- a/request/dispatch/move.go
+++ b/request/dispatch/move.go
@@ -24,15 +24,15 @@
 }
 
 // Move begins to look for another server for a stream whose server changes its
-// weights. It returns nil while the stream is to stay. The Move must be ended
-// with Take or Cancel.
+// weights, and counts a repeat for it. It returns nil while the stream is to
+// stay. The Move must be ended with Take or Cancel.
 func (d *Desk) Move(q *Demand, from Place) *Move {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	agent, ok := d.agents[from.Server.Addr]
 	if !ok || !agent.state.Loading || now.Sub(agent.loadingSince) < moveAfter ||
-		!d.repeatsOf(q.Service).Spare(now, d.entries()) {
+		!d.repeatsOf(q.Service).TakeSpare(now, d.entries()) {
 		return nil
 	}
 	moved := *q
@@ -44,20 +44,15 @@
 	return &Move{d, w}
 }
 
-// Take returns the place that the stream was given, if it has one by now and
-// the bound on repeats allows to send it there. The Move has then ended.
+// Take returns the place that the stream was given, if it has one by now. The
+// Move has then ended.
 func (m *Move) Take() (Place, bool) {
-	d := m.desk
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !m.w.given {
-		return Place{}, false
-	}
-	repeats, now := d.repeatsOf(m.w.demand.Service), d.clock.Now()
-	if !repeats.Spare(now, d.entries()) || !repeats.Take(now, d.entries()) {
+	select {
+	case place := <-m.w.place:
+		return place, true
+	default:
 		return Place{}, false
 	}
-	return <-m.w.place, true
 }
 
 // Cancel ends a Move that was not taken.
--- a/request/dispatch/order.go
+++ b/request/dispatch/order.go
@@ -6,9 +6,9 @@
 )
 
 // OrderLastingOverload answers more requests than the servers bear: it returns
-// the waiting ones of a service in the order in which they get a free place. The
-// most urgent go first. Among those of a rank every second place goes to the
-// one with the least work, so that more callers are served, and the others in
+// those that wait in the order in which they are offered a free place. The most
+// urgent go first. Among those of a rank every second place goes to the one with
+// the least work, so that more callers are served, and the others in
 // order of arrival, so that no size is left out. given counts the places that
 // were given before.
 func OrderLastingOverload(waiting []*waiter, given int) []*waiter {
--- a/request/dispatch/repeats.go
+++ b/request/dispatch/repeats.go
@@ -55,30 +55,24 @@
 func (r *Repeats) First(now time.Time) { r.first[r.advance(now)]++ }
 
 // Take counts a repeat if one of entries entry instances may send it now.
-func (r *Repeats) Take(now time.Time, entries int) bool {
-	used, allowed := r.use(now, entries)
-	if used+1 > allowed {
-		return false
-	}
-	r.repeated[r.advance(now)]++
-	return true
-}
+func (r *Repeats) Take(now time.Time, entries int) bool { return r.take(now, entries, 1) }
 
-// Spare reports whether there are repeats left beyond those that are kept for
-// requests that fail.
-func (r *Repeats) Spare(now time.Time, entries int) bool {
-	used, allowed := r.use(now, entries)
-	return used+1 <= spareShare*allowed
-}
+// TakeSpare counts a repeat that could be done without, if repeats are left
+// beyond those that are kept for requests that fail.
+func (r *Repeats) TakeSpare(now time.Time, entries int) bool { return r.take(now, entries, spareShare) }
 
-// use returns how many repeats were sent within the window and how many may be.
-func (r *Repeats) use(now time.Time, entries int) (used, allowed float64) {
-	r.advance(now)
+// take counts a repeat if it stays within a share of the limits.
+func (r *Repeats) take(now time.Time, entries int, share float64) bool {
+	i := r.advance(now)
 	var first, repeated int
 	for k := range repeatSlots {
 		first += r.first[k]
 		repeated += r.repeated[k]
 	}
-	allowed = repeatMargin * (r.limits.Ratio*float64(first) + r.limits.Slack/float64(max(1, entries)))
-	return float64(repeated), allowed
+	allowed := repeatMargin * (r.limits.Ratio*float64(first) + r.limits.Slack/float64(max(1, entries)))
+	if float64(repeated)+1 > share*allowed {
+		return false
+	}
+	r.repeated[i]++
+	return true
 }
--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -16,5 +16,5 @@
 	eventLeft = eventlog.Define(543, "request-left", logrus.InfoLevel,
 		"The client left before its answer was whole.")
 	eventSending = eventlog.Define(544, "request-sending-failed", logrus.InfoLevel,
-		"A sending of a request to a server failed; fields tell what is known of it and what follows.")
+		"A sending of a request to a server failed, or its stream goes on at another server; fields tell what is known of it and what follows.")
 )
