Servers gone after an outage get nothing more at the end of the grace

Change: the feed's wait and the pause before it end with the grace. Open: an entry instance that notices its lost connection late counts the grace from then.

--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -95,10 +95,16 @@
 // gatherPause is the pause after an answer in which further changes come
 // together.
 func (f *Follower) gatherPause() time.Duration {
-	if f.table == TableServers {
-		return gatherServers
+	if f.table != TableServers {
+		return gatherDeclared
 	}
-	return gatherDeclared
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.lapsed) > 0 && !f.lost {
+		// A server that is gone gets nothing more at the end of the grace.
+		return min(gatherServers, f.graceLeft(f.clock.Now()))
+	}
+	return gatherServers
 }
 
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
@@ -143,15 +149,22 @@
 func (f *Follower) wait() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.lapsed) > 0 {
-		return lapseGrace / 4
-	}
 	if f.lost {
 		return retryLeast
 	}
+	if len(f.lapsed) > 0 {
+		return min(feedWait, f.graceLeft(f.clock.Now()))
+	}
 	return feedWait
 }
 
+// graceLeft is the time until missing servers count as gone, in whole
+// milliseconds as the store counts; f.mu is held.
+func (f *Follower) graceLeft(now time.Time) time.Duration {
+	left := f.backAt.Add(lapseGrace).Sub(now)
+	return max(0, left.Truncate(time.Millisecond)+time.Millisecond)
+}
+
 func (f *Follower) revision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/version/catalog/follower_test.go
+++ b/version/catalog/follower_test.go
@@ -162,6 +162,21 @@
 		So(follow(f, source, step{rev: 13}), ShouldEqual, "b")
 	})
 
+	Convey("One that is still missing then is gone at once, and not with the next change", t, func() {
+		f, source, clock := newFollower(TableServers)
+		follow(f, source, step{rows: []Row{row("a", "ready", 3), row("b", "ready", 4)}, rev: 9}, step{err: errDown})
+		follow(f, source, step{rev: 10})
+		back := clock.Now()
+		clock.Advance(210 * time.Millisecond)
+		So(follow(f, source, step{rows: []Row{gone("a", 11)}, rev: 11}), ShouldEqual, "a b")
+		for listed(f.holder) != "b" {
+			clock.Advance(f.gatherPause())
+			clock.Advance(f.wait())
+			follow(f, source, step{rev: 12})
+		}
+		So(clock.Since(back), ShouldBeLessThanOrEqualTo, lapseGrace+10*time.Millisecond)
+	})
+
 	Convey("A table that another instance has newer is taken over, an older one is not", t, func() {
 		f, source, _ := newFollower(TableServers)
 		follow(f, source, step{rows: []Row{row("a", "ready", 3)}, rev: 9}, step{err: errDown})
