Responses without end are bounded in memory and taken for failures

Cause: http.ReadResponse over a plain reader has no limit. A server that sent a status line, one header, headers or bytes that are no HTTP without end was read until the deadline; the error text quoted all of it. A body was read up to 16 MB for each request, 50 at once up to 800 MB. A stream of comments counted as activity, so it was not continued elsewhere.

Change: a head is limited to 64 KiB at every HTTP client and WebSocket dial (dial.LimitedConn, MaxResponseHeaderBytes); bodies share a budget of 4 MiB beyond their first 32 KiB; an event, and what comes between two events with data, is limited to 64 KiB; only events with data count as activity; errors that quote a peer are cut to 256 bytes.

TestServerThatSendsWithoutEnd: eight kinds, 50 callers at once, less than 32 MB more than at rest, repeatable requests served by another server, others sent once and failed. Two clients of the other daemons (members, orders) keep the library's limit of 10 MiB for heads.

--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rattanway/rattanway/core"
+	"github.com/rattanway/rattanway/process/dial"
 )
 
 // The buffer sizes of a connection, in bytes. They suffice for an event of a
@@ -39,9 +40,11 @@
 // Do; Close may be called at any time.
 type Conn struct {
 	netConn net.Conn
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	addr    string
+	// limitedConn is netConn with the limit of a response's header.
+	limitedConn *dial.LimitedConn
+	reader      *bufio.Reader
+	writer      *bufio.Writer
+	addr        string
 	// used is true once Do has been called.
 	used bool
 	// idleSince is the time of the last Pool.Put.
@@ -75,9 +78,11 @@
 		return nil, core.WrapStep("send request", c.addr, err)
 	}
 	for range maxMismatchedResponses {
+		c.limitedConn.SetReadLimit(core.MaxResponseHeadBytes)
 		resp, err := http.ReadResponse(c.reader, req)
+		c.limitedConn.ClearReadLimit()
 		if err != nil {
-			return nil, core.WrapStep("read response", c.addr, err)
+			return nil, core.WrapStep("read response", c.addr, core.ClipError(err))
 		}
 		if belongs(resp) {
 			return resp, nil
--- a/connection/backend/pool.go
+++ b/connection/backend/pool.go
@@ -51,9 +51,10 @@
 	if err != nil {
 		return nil, core.WrapStep("connect", addr, err)
 	}
+	limitedConn := &dial.LimitedConn{Conn: conn}
 	return &Conn{
-		netConn: conn, addr: addr,
-		reader: bufio.NewReaderSize(conn, readBufferBytes),
+		netConn: conn, limitedConn: limitedConn, addr: addr,
+		reader: bufio.NewReaderSize(limitedConn, readBufferBytes),
 		writer: bufio.NewWriterSize(conn, writeBufferBytes),
 	}, nil
 }
--- a/connection/engine/http.go
+++ b/connection/engine/http.go
@@ -112,13 +112,14 @@
 			}
 			return conn, nil
 		},
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		ReadBufferSize:      transportBufferBytes,
-		WriteBufferSize:     transportBufferBytes,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: core.MaxResponseHeadBytes,
+		DisableKeepAlives:      disableKeepAlives,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		ReadBufferSize:         transportBufferBytes,
+		WriteBufferSize:        transportBufferBytes,
 	}
 }
 
@@ -207,7 +208,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return Response{}, core.WrapStep("call engine", h.addr, err)
+		return Response{}, core.WrapStep("call engine", h.addr, core.ClipError(err))
 	}
 	return Response{
 		ID:     resp.Header.Get(core.HeaderRequestID),
--- a/connection/frame/conn.go
+++ b/connection/frame/conn.go
@@ -1,7 +1,9 @@
 package frame
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -182,8 +184,17 @@
 // Dial opens a Conn to path at addr ("ip:port") and sends the peer token.
 // timeout limits the time until the connection is open.
 func Dial(addr, path, token string, timeout time.Duration) (*Conn, error) {
+	var limited *dial.LimitedConn
 	d := websocket.Dialer{
-		NetDialContext:   dial.DialContext,
+		NetDialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dial.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			limited = &dial.LimitedConn{Conn: conn}
+			limited.SetReadLimit(core.MaxResponseHeadBytes)
+			return limited, nil
+		},
 		HandshakeTimeout: timeout,
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
@@ -195,8 +206,9 @@
 		if resp != nil {
 			err = errors.Wrapf(err, "status %d", resp.StatusCode)
 		}
-		return nil, core.WrapStep("dial", addr, err)
+		return nil, core.WrapStep("dial", addr, core.ClipError(err))
 	}
+	limited.ClearReadLimit()
 	ws.SetReadLimit(MaxBytes)
 	return &Conn{ws: ws, peer: addr}, nil
 }
--- a/core/errors.go
+++ b/core/errors.go
@@ -1,6 +1,9 @@
 package core
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // StepError adds the failed operation and the peer involved to an error.
 type StepError struct {
@@ -30,5 +33,32 @@
 	return fmt.Sprintf("%s (peer %s): %v", e.Step, e.Peer, e.Err)
 }
 
+// MaxResponseHeadBytes is the maximum size of the header of an HTTP response that any
+// process of this system accepts.
+const MaxResponseHeadBytes = 64 << 10
+
+// maxPeerTextBytes limits the text of an error that quotes what a peer has sent.
+const maxPeerTextBytes = 256
+
+// ClipError returns err with its text cut to a few hundred bytes. It is for errors
+// that quote what a peer has sent, such as a malformed status line.
+func ClipError(err error) error {
+	if err == nil || len(err.Error()) <= maxPeerTextBytes {
+		return err
+	}
+	return &clippedError{err}
+}
+
+// clippedError is an error whose text is cut.
+type clippedError struct{ err error }
+
+// Error implements error.
+func (e *clippedError) Error() string {
+	return strings.ToValidUTF8(e.err.Error()[:maxPeerTextBytes], "") + " ..."
+}
+
+// Unwrap returns the error with the complete text.
+func (e *clippedError) Unwrap() error { return e.err }
+
 // Unwrap returns the wrapped error.
 func (e *StepError) Unwrap() error { return e.Err }
--- a/process/platform/http.go
+++ b/process/platform/http.go
@@ -96,10 +96,11 @@
 func newClient(config Config) *client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: core.MaxResponseHeadBytes,
 	}
 	return &client{
 		addr:       config.Addr,
--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -67,9 +67,6 @@
 }
 
 const (
-	// maxResponseBodyBytes limits the size of a response body that is read completely
-	// before it is forwarded; the responses of the services are about 1 KB.
-	maxResponseBodyBytes = 16 << 20
 	// defaultMaxRequestBodyBytes limits the size of a request body if the configuration
 	// has no limit.
 	defaultMaxRequestBodyBytes = 4 << 20
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -24,6 +24,8 @@
 	draining    atomic.Bool
 	activeCount atomic.Int64
 	stats       stats
+	// bodyParts limits the memory for response bodies that are read completely.
+	bodyParts bodyParts
 }
 
 // stats holds the metrics of a [Handler].
@@ -77,6 +79,7 @@
 	c.setWriteTimeout(c.dispatchReq.Deadline.Sub(c.dispatchReq.ArrivedAt) + writeMargin)
 	ctx, cancel := context.WithDeadline(r.Context(), c.dispatchReq.Deadline)
 	defer cancel()
+	defer c.releaseBodies()
 	c.run(ctx)
 }
 
@@ -113,6 +116,8 @@
 	// nil if there was none. It is forwarded if no server gives a response without a
 	// 5xx status.
 	serverError *response
+	// heldParts are the parts of response bodies that the call has read.
+	heldParts [][]byte
 	// firstByteAt is when the response header was written to the client; zero before
 	// that.
 	firstByteAt time.Time
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
@@ -32,13 +31,6 @@
 	retryCounted bool
 }
 
-// response is a complete response of a server.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // Reasons for which a response is not forwarded, or not completely.
 var (
 	errNoReceipt       = errors.New("response has no receipt header")
@@ -141,7 +133,7 @@
 	if c.isEventStream(resp) {
 		return c.forwardStream(ctx, resp, slot, watch)
 	}
-	complete, err := readResponse(resp)
+	complete, err := c.readResponse(resp)
 	if err != nil {
 		r.err = err
 		return r
@@ -170,30 +162,17 @@
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		r.outcome = dispatch.Misdirected
 	}
-	_, r.err = readResponse(resp)
+	_, r.err = c.readResponse(resp)
 	return r
 }
 
-// readResponse reads a complete response. A body of more than
-// maxResponseBodyBytes is an error.
-func readResponse(resp *http.Response) (*response, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBodyBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBodyBytes {
-		return nil, errResponseTooLong
-	}
-	return &response{status: resp.StatusCode, header: resp.Header, body: body}, nil
-}
-
 // writeResponse writes a complete response to the client. For a HEAD request it
 // writes no body.
 func (c *call) writeResponse(resp *response) error {
 	header := c.w.Header()
 	copyHeader(header, resp.header)
 	if c.httpReq.Method != http.MethodHead {
-		header.Set("Content-Length", strconv.Itoa(len(resp.body)))
+		header.Set("Content-Length", strconv.Itoa(resp.size()))
 	}
 	c.headerSent = true
 	c.firstByteAt = c.cfg.Clock.Now()
@@ -201,7 +180,7 @@
 	if c.httpReq.Method == http.MethodHead {
 		return nil
 	}
-	_, err := c.w.Write(resp.body)
+	err := resp.writeBody(c.w)
 	c.clientGone = err != nil
 	return err
 }
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -18,14 +18,15 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// maxEventBytes limits the size of one event; an event of the services has about
-// 100 bytes.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of one event, and of what a server sends between two
+// events that carry data; an event of the services has about 100 bytes.
+const maxEventBytes = 64 << 10
 
 // Reasons for which a server's stream is not forwarded completely.
 var (
 	errPartialEvent = errors.New("stream ended within an event")
 	errEventTooLong = errors.New("event is too long")
+	errNoData       = errors.New("stream has events without data only")
 	errEventGap     = errors.New("event ID does not follow the previous one")
 	errMoved        = errors.New("server is loading new weights")
 )
@@ -44,6 +45,8 @@
 	reader := bufio.NewReaderSize(resp.Body, 1<<10)
 	mover := streamMover{call: c, from: slot}
 	defer mover.cancel()
+	// bytesWithoutData is the size of the events since the last one with data.
+	bytesWithoutData := 0
 	for {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -55,8 +58,16 @@
 			r.err = err
 			return r
 		}
-		watch.recordActivity()
-		c.cfg.Scheduler.RecordActivity(slot)
+		if bytesWithoutData += len(event); bytesWithoutData > maxEventBytes {
+			r.err = errNoData
+			return r
+		}
+		if hasData(event) {
+			// A server that sends only comments is stalled.
+			bytesWithoutData = 0
+			watch.recordActivity()
+			c.cfg.Scheduler.RecordActivity(slot)
+		}
 		if r.err = c.forwardEvent(resp, event); r.err != nil {
 			if c.clientGone {
 				r.outcome = dispatch.Cancelled
@@ -140,6 +151,16 @@
 	c.w.WriteHeader(resp.StatusCode)
 }
 
+// hasData reports whether an event has a line with data.
+func hasData(event []byte) bool {
+	for _, line := range bytes.Split(event, []byte("\n")) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the ID of an event; empty if the event has none.
 func eventID(event []byte) string {
 	for _, line := range bytes.Split(event, []byte("\n")) {
--- a/version/spread/client.go
+++ b/version/spread/client.go
@@ -143,13 +143,14 @@
 // most maxIdleConnections unused connections.
 func newHTTPClient(maxIdleConnections int) *http.Client {
 	transport := &http.Transport{
-		DialContext:         dial.DialContext,
-		DisableCompression:  true,
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: maxIdleConnectionsPerPeer,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      readBufferBytes,
-		WriteBufferSize:     writeBufferBytes,
+		DialContext:            dial.DialContext,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: core.MaxResponseHeadBytes,
+		MaxIdleConns:           maxIdleConnections,
+		MaxIdleConnsPerHost:    maxIdleConnectionsPerPeer,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         readBufferBytes,
+		WriteBufferSize:        writeBufferBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
@@ -168,7 +169,7 @@
 	defer watchdog.Stop()
 	resp, err := s.client.Do(s.newRequest(ctx, addr, req))
 	if err != nil {
-		return nil, nil, core.WrapStep("request object", addr, err)
+		return nil, nil, core.WrapStep("request object", addr, core.ClipError(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
