The rest of a request is not delivered after its client has left

Cause: when a client left, the connection to the server was closed, and the kernel went on delivering what was queued in the socket.

Change: the connection is reset (linger 0), which discards what has not left this machine. The same when a stalled server is given up.

--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -37,7 +37,7 @@
 )
 
 // Conn is a connection to a backend server. Only one goroutine at a time may call
-// Do; Close may be called at any time.
+// Do; Close and Abort may be called at any time.
 type Conn struct {
 	netConn net.Conn
 	// limitedConn is netConn with the limit of a response's header.
@@ -56,11 +56,23 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.netConn.Close() }
 
+// Abort resets the connection. Other than Close, it discards the part of a request
+// that has not left this machine yet, for example because the link to the server has
+// become narrow. Without that, the request could reach the server long after its
+// client has left.
+func (c *Conn) Abort() {
+	if tcp, ok := c.netConn.(*net.TCPConn); ok {
+		// If this fails, the connection has ended already.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Do sends a request and reads the header of the response. head is the encoded
 // request line and header, and body the request body; req is only used to parse
 // the response. belongs reports whether a response belongs to the request; Do
 // skips other responses. If a reused connection is no longer usable, Do sends
-// nothing and returns ErrNotSent. To interrupt a blocked Do, the caller closes the
+// nothing and returns ErrNotSent. To interrupt a blocked Do, the caller aborts the
 // connection; the end of ctx does not interrupt it. After Do, the caller reads the
 // response body and then calls Pool.Put or Close.
 func (c *Conn) Do(ctx context.Context, head string, req *http.Request, body []byte, belongs func(*http.Response) bool) (*http.Response, error) {
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -76,7 +76,7 @@
 // returns the connection to the pool, or closes the connection if it cannot be
 // used again.
 func (c *call) exchange(ctx context.Context, conn *backend.Conn, slot dispatch.Slot) attemptResult {
-	stop := context.AfterFunc(ctx, conn.Close)
+	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	watch := c.newStallWatch(ctx, conn, slot)
 	defer watch.stop()
@@ -330,7 +330,7 @@
 		return
 	}
 	w.stalled.Store(true)
-	w.conn.Close()
+	w.conn.Abort()
 }
 
 // recordActivity restarts the timeout, because the server has sent an event. It
