Followers of the store can rely on the reads of a peer

Cause: every entry instance reads every change of the store.

Change: catalog.Follower passes the changes that it reads to a function and applies those of a peer, if no change before them is missing; while a peer reads the table it reads the store itself only every 8 s, at a gap, and while servers are missing after an outage. Rows up to the revision read are never applied twice.

--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -74,6 +74,16 @@
 	// missingRows holds the rows that were deleted during an outage or shortly
 	// after it. Their servers stay listed until missingGracePeriod has passed.
 	missingRows map[string]Row
+
+	// readByPeer and onRead are the functions passed to Share; nil without Share.
+	readByPeer func() bool
+	onRead     func(RowChanges)
+	// sharedUntil is the revision of the last changes that this Follower has passed to
+	// onRead or received from a peer. From there up to readRevision nothing changed.
+	sharedUntil uint64
+	// idle is true while the Follower relies on a peer. pollNow ends that.
+	idle    bool
+	pollNow chan struct{}
 }
 
 // NewFollower returns a Follower of table t that reads from source and writes
@@ -82,6 +92,7 @@
 	return &Follower{
 		table: t, source: source, holder: holder, log: log, clock: clock,
 		rows: map[string]Row{}, missingRows: map[string]Row{}, lastResponseAt: clock.Now(),
+		pollNow: make(chan struct{}, 1),
 	}
 }
 
@@ -94,6 +105,7 @@
 		case err == nil:
 			delay = minRetryDelay
 			f.sleep(ctx, f.batchDelay())
+			f.waitWhileReadByPeer(ctx)
 		case errors.Is(err, ErrHistoryLost):
 			f.log.Event(eventHistoryLost, eventlog.Fields{"table": f.table.Name(), "since": f.lastReadRevision()})
 			f.resetReadRevision()
@@ -149,6 +161,7 @@
 	}
 	f.markAvailable()
 	f.applyRows(rows, rev)
+	f.shareRead(rows, rev)
 	return nil
 }
 
@@ -314,6 +327,7 @@
 		}
 	}
 	f.changeRevision, f.readRevision = max(f.changeRevision, content.ChangeRevision), content.ReadRevision
+	f.sharedUntil = content.ReadRevision
 	f.holder.Apply(changes, true, f.table == TableServers, now)
 }
 
@@ -343,10 +357,16 @@
 func (f *Follower) applyRows(rows []Row, rev uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.applyRowsLocked(rows, rev)
+}
+
+// applyRowsLocked is applyRows for callers that hold f.mu.
+func (f *Follower) applyRowsLocked(rows []Row, rev uint64) {
 	now := f.clock.Now()
 	var changes []Change
 	for _, r := range rows {
-		if r.Revision <= f.rows[r.Key].Revision && !r.Deleted {
+		if r.Revision <= f.rows[r.Key].Revision && !r.Deleted || r.Revision <= f.readRevision {
+			// The row is applied already. A peer may have sent it before.
 			continue
 		}
 		f.changeRevision = max(f.changeRevision, r.Revision)
--- /dev/null
+++ b/version/catalog/sharing.go
@@ -0,0 +1,123 @@
+package catalog
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// maxUnreadPeriod is the longest time for which a Follower relies on the changes
+	// that a peer reads. It is shorter than the period for which the store keeps its
+	// history.
+	maxUnreadPeriod = 8 * time.Second
+	// peerCheckInterval is the time between two checks whether a peer still reads the
+	// table.
+	peerCheckInterval = 200 * time.Millisecond
+)
+
+// RowChanges holds changes of a table that an entry instance has read from the store,
+// as it sends them to others.
+type RowChanges struct {
+	// Rows are all rows that changed after the revision Since up to the revision
+	// Until.
+	Rows  []Row  `cbor:"1,keyasint"`
+	Since uint64 `cbor:"2,keyasint"`
+	Until uint64 `cbor:"3,keyasint"`
+	// GraceMs is the rest of the period after an outage of the store, in milliseconds,
+	// in which servers stay listed although their rows were deleted; 0 outside it.
+	GraceMs int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Share makes the Follower rely on peers. While readByPeer returns true, the Follower
+// does not read the store, but waits for the changes that ApplyFromPeer delivers.
+// onRead is called with all changes that the Follower reads from the store itself.
+// Share must be called before Run.
+func (f *Follower) Share(readByPeer func() bool, onRead func(RowChanges)) {
+	f.readByPeer, f.onRead = readByPeer, onRead
+}
+
+// waitWhileReadByPeer waits until a read of the store is needed: no peer reads the
+// table any more, PollNow was called, or maxUnreadPeriod has passed. It does not wait
+// while servers are missing, because their grace period ends without a change.
+func (f *Follower) waitWhileReadByPeer(ctx context.Context) {
+	if f.readByPeer == nil {
+		return
+	}
+	end := f.clock.Now().Add(maxUnreadPeriod)
+	defer f.setIdle(false)
+	for f.readByPeer() && f.clock.Now().Before(end) && f.setIdle(true) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.pollNow:
+			return
+		case <-f.clock.After(peerCheckInterval):
+		}
+	}
+}
+
+// setIdle records whether the Follower relies on a peer. It refuses, and returns
+// false, while servers are missing.
+func (f *Follower) setIdle(idle bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.idle = idle && len(f.missingRows) == 0
+	return f.idle
+}
+
+// PollNow makes a Follower that relies on a peer read the store now. It returns false
+// if the Follower reads the store anyway.
+func (f *Follower) PollNow() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.idle {
+		return false
+	}
+	select {
+	case f.pollNow <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// LastRead returns the time of the store's last response. ok is false if the store
+// does not respond, or if the Follower relies on a peer.
+func (f *Follower) LastRead() (respondedAt time.Time, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastResponseAt, !f.unavailable && !f.idle && f.changeRevision > 0
+}
+
+// ApplyFromPeer applies changes that a peer has read from the store. If changes
+// before them are missing here, it applies nothing and makes the Follower read the
+// store.
+func (f *Follower) ApplyFromPeer(c RowChanges) {
+	f.mu.Lock()
+	if f.readRevision < c.Since {
+		f.mu.Unlock()
+		f.PollNow()
+		return
+	}
+	defer f.mu.Unlock()
+	restoredAt := f.clock.Now().Add(time.Duration(c.GraceMs)*time.Millisecond - missingGracePeriod)
+	if c.GraceMs > 0 && restoredAt.After(f.restoredAt) {
+		f.restoredAt = restoredAt
+	}
+	f.applyRowsLocked(c.Rows, c.Until)
+	f.sharedUntil = max(f.sharedUntil, c.Until)
+}
+
+// shareRead passes rows that the store returned up to revision rev to onRead.
+func (f *Follower) shareRead(rows []Row, rev uint64) {
+	if f.onRead == nil || len(rows) == 0 {
+		return
+	}
+	f.mu.Lock()
+	c := RowChanges{Rows: rows, Since: f.sharedUntil, Until: rev}
+	f.sharedUntil = rev
+	if now := f.clock.Now(); f.inGracePeriod(now) {
+		c.GraceMs = f.remainingGrace(now).Milliseconds()
+	}
+	f.mu.Unlock()
+	f.onRead(c)
+}
