--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -20,18 +20,9 @@
 // other entry instances.
 const Path = "/internal/exchange"
 
-const (
-	// sendInterval is the time between two messages while counts change. A
-	// backend server that receives 12 requests per second receives about half a
-	// request in this time, so its count changes little between two messages.
-	sendInterval = 50 * time.Millisecond
-	// heartbeatInterval is the longest time between two messages, also while no
-	// count changes.
-	heartbeatInterval = 500 * time.Millisecond
-	// receiveTimeout is the time without a message after which the receiver closes
-	// the connection.
-	receiveTimeout = 2 * time.Second
-)
+// relayedAgentTimeout is how long the agents of another data centre are kept after
+// the last connection through which that data centre was followed has ended.
+const relayedAgentTimeout = 3 * time.Second
 
 // redialPauses are the pauses before a peer is dialled again.
 var redialPauses = dial.Backoff{MinDelay: 100 * time.Millisecond, MaxDelay: time.Second, ResetAfter: time.Second}
@@ -43,19 +34,51 @@
 		"The connection to or from another entry instance failed or ended; the side that opened it dials again.")
 	eventTablesRequested = eventlog.Define(152, "exchange-want", logrus.InfoLevel,
 		"Another entry instance has a newer revision of a table than the store has delivered to this entry instance, which requests the table from the other.")
+	eventFollowing = eventlog.Define(153, "exchange-follow", logrus.InfoLevel,
+		"This entry instance receives the load and the agents of another data centre from an entry instance there.")
+	eventFollowingEnded = eventlog.Define(154, "exchange-follow-gone", logrus.InfoLevel,
+		"The connection through which this entry instance followed another data centre failed or ended; it follows through another entry instance there.")
 )
 
+// LoadReport is the load of one entry instance or of a whole data centre.
+type LoadReport struct {
+	// RunningByServer maps the ID of a backend server to the number of requests
+	// there, but holds only the numbers that have changed since the last report.
+	RunningByServer map[string]int
+	// Complete is true if RunningByServer holds all numbers.
+	Complete bool
+	// InstanceCount is the number of entry instances whose requests are counted.
+	InstanceCount int
+	// Remote is true if these entry instances are in another data centre.
+	Remote bool
+}
+
 // LoadTracker provides the request counts of this entry instance and stores those of
 // its peers.
 type LoadTracker interface {
 	// RunningByServer returns the number of requests that this entry instance runs
 	// at each backend server, by server ID.
 	RunningByServer() map[string]int
-	// ResetPeerLoads discards the counts of a peer that has connected again.
-	ResetPeerLoads(peer string)
-	// UpdatePeerLoads updates the counts of a peer. running holds only the counts
-	// that have changed since the last update, by server ID.
-	UpdatePeerLoads(peer string, running map[string]int)
+	// RunningInDataCentre returns the same for all entry instances of this data
+	// centre, and the number of these entry instances.
+	RunningInDataCentre() (running map[string]int, instanceCount int)
+	// UpdatePeerLoads updates the counts of a peer or of a followed data centre.
+	UpdatePeerLoads(source string, r LoadReport)
+	// SetEntryInstanceCount sets the number of known entry instances, including this
+	// one.
+	SetEntryInstanceCount(n int)
+}
+
+// AgentDirectory holds the agents of all data centres.
+type AgentDirectory interface {
+	// LocalAgents returns the connected agents of this data centre by server address.
+	LocalAgents() map[string]frame.RelayedAgent
+	// UpdateRelayed updates the agents of another data centre: agents holds those that
+	// are new or have changed, gone the server addresses of those that have
+	// disconnected. If complete is true, agents holds all of them.
+	UpdateRelayed(dataCentre string, complete bool, agents []frame.RelayedAgent, gone []string)
+	// DropRelayed removes all agents of another data centre.
+	DropRelayed(dataCentre string)
 }
 
 // Config holds the settings and dependencies of an Exchange.
@@ -72,82 +95,145 @@
 	DeclaredFollower, ServersFollower *catalog.Follower
 	// LoadTracker provides and receives the request counts.
 	LoadTracker LoadTracker
+	// Agents provides and receives the agents.
+	Agents AgentDirectory
 	// Log receives the events of connections and table requests.
 	Log *eventlog.Logger
 	// Clock is the time source.
 	Clock clockwork.Clock
 }
 
-// Exchange holds the connections to the other entry instances. An entry instance
-// sends its counts only on connections that it has dialled itself, so that two entry
-// instances have one connection for each direction. Exchange is safe for concurrent
-// use.
+// Exchange holds the connections to the other entry instances; planConnections
+// decides which. An entry instance sends its own counts only on connections that it
+// has dialled itself, so that two entry instances have one connection for each
+// direction. Exchange is safe for concurrent use.
 type Exchange struct {
 	cfg Config
 	mu  sync.Mutex
-	// known holds the addresses that AddPeer has queued, and the address of this
-	// entry instance.
-	known map[string]bool
-	// discovered receives the known addresses that Run has yet to dial.
-	discovered chan string
+	// known maps the addresses of the other known entry instances to their data
+	// centres; a name is empty if the data centre is unknown.
+	known map[string]string
+	// learned lists what known holds, in the order in which it became known. An
+	// address is listed again when its data centre becomes known.
+	learned []frame.EntryAddr
+	// knownChanged is closed and replaced when known changes.
+	knownChanged chan struct{}
+	// followed holds the data centres that are followed through a connection now.
+	followed map[string]bool
 	// lastRequested is the time at which each table was last requested.
 	lastRequested map[catalog.Table]time.Time
+	// peerReads holds what the entry instances of this data centre read from the
+	// store, by the ID of the entry instance.
+	peerReads map[string]peerRead
+	// changeQueues are the queues of the connections on which changes of tables are
+	// sent.
+	changeQueues map[chan frame.TableChanges]bool
 }
 
 // New returns an Exchange without connections; Run opens them.
 func New(cfg Config) *Exchange {
 	return &Exchange{
-		cfg: cfg, known: map[string]bool{cfg.Self.Addr: true}, discovered: make(chan string, 256),
-		lastRequested: map[catalog.Table]time.Time{},
+		cfg: cfg, known: map[string]string{}, knownChanged: make(chan struct{}), followed: map[string]bool{},
+		lastRequested: map[catalog.Table]time.Time{}, peerReads: map[string]peerRead{},
+		changeQueues: map[chan frame.TableChanges]bool{},
 	}
 }
 
-// AddPeer queues the entry instance at addr for dialling unless it is known. While
-// the queue is full, addr is dropped.
-func (x *Exchange) AddPeer(addr string) {
+// AddPeer adds the entry instance at addr to the known ones. dataCentre is empty if
+// it is unknown; a data centre that is already known is kept.
+func (x *Exchange) AddPeer(addr, dataCentre string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if addr == "" || x.known[addr] {
+	old, ok := x.known[addr]
+	if addr == "" || addr == x.cfg.Self.Addr || ok && (dataCentre == "" || old != "") {
 		return
 	}
-	select {
-	case x.discovered <- addr:
-		x.known[addr] = true
-	default:
-	}
+	x.known[addr] = dataCentre
+	x.learned = append(x.learned, frame.EntryAddr{Addr: addr, DataCentre: dataCentre})
+	x.cfg.LoadTracker.SetEntryInstanceCount(len(x.known) + 1)
+	close(x.knownChanged)
+	x.knownChanged = make(chan struct{})
 }
 
-// KnownAddrs returns the addresses of all known entry instances, including this one.
-func (x *Exchange) KnownAddrs() []string {
+// KnownEntries returns all known entry instances, including this one, and a channel
+// that is closed when there are more.
+func (x *Exchange) KnownEntries() ([]frame.EntryAddr, <-chan struct{}) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	addrs := make([]string, 0, len(x.known))
-	for addr := range x.known {
-		addrs = append(addrs, addr)
+	all := []frame.EntryAddr{{Addr: x.cfg.Self.Addr, DataCentre: x.cfg.Self.DataCentre}}
+	for addr, dataCentre := range x.known {
+		all = append(all, frame.EntryAddr{Addr: addr, DataCentre: dataCentre})
 	}
-	return addrs
+	return all, x.knownChanged
 }
 
-// Run dials the other entry instances, and redials each one after a lost
-// connection, until ctx ends.
+// learnedSince returns the elements of learned from index n on.
+func (x *Exchange) learnedSince(n int) []frame.EntryAddr {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.learned[n:len(x.learned):len(x.learned)]
+}
+
+// plan returns the connections that this entry instance should have, and a channel
+// that is closed when they may have changed.
+func (x *Exchange) plan() (connectionPlan, <-chan struct{}) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return planConnections(x.cfg.Self, x.known), x.knownChanged
+}
+
+// Run keeps the planned connections open until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
 	var connections sync.WaitGroup
 	defer connections.Wait()
+	// cancels holds a function that ends the work for each address of plan.peers and
+	// each data centre of plan.followed.
+	peerCancels, followCancels := map[string]context.CancelFunc{}, map[string]context.CancelFunc{}
 	for {
+		plan, changed := x.plan()
+		for addr := range plan.peers {
+			startOnce(ctx, &connections, peerCancels, addr, x.maintainPeer)
+		}
+		for dataCentre := range plan.followed {
+			startOnce(ctx, &connections, followCancels, dataCentre, x.followDataCentre)
+		}
+		for addr, cancel := range peerCancels {
+			if !plan.peers[addr] {
+				cancel()
+				delete(peerCancels, addr)
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case addr := <-x.discovered:
-			connections.Go(func() {
-				session := func(ctx context.Context, timeout time.Duration) error { return x.runSession(ctx, addr, timeout) }
-				dial.KeepConnected(ctx, x.cfg.Clock, redialPauses, session, func(err error) {
-					x.cfg.Log.EventWithError(eventPeerDisconnected, err, eventlog.Fields{"peer": addr})
-				})
-			})
+		case <-changed:
 		}
 	}
 }
 
+// startOnce runs work for name in a goroutine of group, unless cancels has name, and
+// adds the function that ends the work to cancels.
+func startOnce(ctx context.Context, group *sync.WaitGroup, cancels map[string]context.CancelFunc, name string, work func(context.Context, string)) {
+	if cancels[name] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	cancels[name] = cancel
+	group.Go(func() {
+		defer cancel()
+		work(ctx, name)
+	})
+}
+
+// maintainPeer dials the entry instance at addr, and redials it after each lost
+// connection, until ctx ends.
+func (x *Exchange) maintainPeer(ctx context.Context, addr string) {
+	session := func(ctx context.Context, timeout time.Duration) error { return x.runSession(ctx, addr, timeout) }
+	dial.KeepConnected(ctx, x.cfg.Clock, redialPauses, session, func(err error) {
+		x.cfg.Log.EventWithError(eventPeerDisconnected, err, eventlog.Fields{"peer": addr})
+	})
+}
+
 // runSession opens a connection to a peer within timeout and sends the request
 // counts on the connection until it ends. On the same connection it serves the table
 // requests of the peer.
@@ -159,112 +245,75 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := conn.Send(frame.KindEntryHello, frame.EntryHello{Instance: x.cfg.Self}); err != nil {
+	hello := frame.EntryHello{Instance: x.cfg.Self, RequestsHello: true}
+	if err := conn.Send(frame.KindEntryHello, hello); err != nil {
 		return err
 	}
 	x.cfg.Log.Event(eventPeerConnected, eventlog.Fields{"peer": addr})
-	tableRequestErr := make(chan error, 1)
-	go func() { tableRequestErr <- x.serveTableRequests(conn) }()
-	sent := map[string]int{}
-	var lastHeartbeat time.Time
-	for {
-		update := frame.LoadUpdate{
-			DeclaredRevision: x.cfg.DeclaredFollower.ChangeRevision(), ServersRevision: x.cfg.ServersFollower.ChangeRevision(),
-			RunningByServer: changedCounts(sent, x.cfg.LoadTracker.RunningByServer()),
+	return x.newSender(conn, false).run(ctx)
+}
+
+// followDataCentre receives the load and the agents of a data centre from one of its
+// entry instances, and chooses another one after each lost connection, until ctx
+// ends.
+func (x *Exchange) followDataCentre(ctx context.Context, dataCentre string) {
+	failedAt := map[string]time.Time{}
+	lastFollowed := x.cfg.Clock.Now()
+	session := func(ctx context.Context, timeout time.Duration) error {
+		plan, _ := x.plan()
+		addrs := plan.followed[dataCentre]
+		if len(addrs) == 0 {
+			return nil
 		}
+		addr := chooseRelay(x.cfg.Self.ID, addrs, failedAt, x.cfg.Clock.Now())
+		connected, err := x.runFollowSession(ctx, addr, dataCentre, timeout)
 		now := x.cfg.Clock.Now()
-		heartbeatDue := now.Sub(lastHeartbeat) >= heartbeatInterval
-		if heartbeatDue {
-			update.DeclaredVersions = x.recentVersions(now)
-		}
-		if len(update.RunningByServer) > 0 || heartbeatDue {
-			if err := conn.Send(frame.KindLoadUpdate, update); err != nil {
-				return err
-			}
-			if heartbeatDue {
-				lastHeartbeat = now
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case err := <-tableRequestErr:
-			return err
-		case <-x.cfg.Clock.After(sendInterval):
+		failedAt[addr] = now
+		if connected {
+			lastFollowed = now
+		} else if now.Sub(lastFollowed) >= relayedAgentTimeout {
+			x.cfg.Agents.DropRelayed(dataCentre)
 		}
+		return err
 	}
+	dial.KeepConnected(ctx, x.cfg.Clock, redialPauses, session, func(err error) {
+		x.cfg.Log.EventWithError(eventFollowingEnded, err, eventlog.Fields{"dataCentre": dataCentre})
+	})
 }
 
-// ageSendPeriod is how long after the declaration of a version of the weights
-// the version's age is sent to peers. A peer that was paused or disconnected
-// receives the declaration late and has no other source for the age.
-const ageSendPeriod = 20 * time.Second
-
-// recentVersions returns the versions of the weights declared within the last
-// ageSendPeriod, with their ages.
-func (x *Exchange) recentVersions(now time.Time) []frame.WantedVersion {
-	var recent []frame.WantedVersion
-	for _, w := range x.cfg.Holder.Current().RecentVersions(now, ageSendPeriod) {
-		recent = append(recent, frame.WantedVersion{
-			Model: w.Model, Version: w.Version, AgeMs: now.Sub(w.DeclaredAt).Milliseconds(),
-		})
-	}
-	return recent
-}
-
-// applyAges stores the ages of declared versions that a peer sent.
-func (x *Exchange) applyAges(weights []frame.WantedVersion) {
-	now := x.cfg.Clock.Now()
-	for _, w := range weights {
-		declaredAt := now.Add(-time.Duration(w.AgeMs) * time.Millisecond)
-		x.cfg.Holder.MergeWeights(catalog.Weights{Model: w.Model, Version: w.Version, DeclaredAt: declaredAt}, now)
-	}
-}
-
-// changedCounts returns the counts in current that differ from those in sent, and
-// 0 for servers that have a count in sent but are missing in current. It updates
-// sent to match current.
-func changedCounts(sent, current map[string]int) map[string]int {
-	changed := map[string]int{}
-	for id, n := range current {
-		if sent[id] != n {
-			changed[id], sent[id] = n, n
-		}
+// runFollowSession opens a connection to the entry instance at addr within timeout
+// and receives the reports about its data centre until the connection ends.
+// connected is true if the connection was opened.
+func (x *Exchange) runFollowSession(ctx context.Context, addr, dataCentre string, timeout time.Duration) (connected bool, err error) {
+	conn, err := frame.Dial(addr, Path, x.cfg.Token, timeout)
+	if err != nil {
+		return false, err
 	}
-	for id, n := range sent {
-		if _, ok := current[id]; !ok {
-			if n != 0 {
-				changed[id] = 0
-			}
-			delete(sent, id)
-		}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if err := conn.Send(frame.KindEntryHello, frame.EntryHello{Instance: x.cfg.Self, Subscribes: true}); err != nil {
+		return true, err
 	}
-	return changed
+	x.cfg.Log.Event(eventFollowing, eventlog.Fields{"dataCentre": dataCentre, "peer": addr})
+	x.setFollowed(dataCentre, true)
+	defer x.setFollowed(dataCentre, false)
+	r := receiver{x: x, conn: conn, source: "data centre " + dataCentre, dataCentre: dataCentre, follows: true}
+	return true, r.run()
 }
 
-// serveTableRequests sends the tables that the peer requests, until the connection
-// ends.
-func (x *Exchange) serveTableRequests(conn *frame.Conn) error {
-	for {
-		var request frame.TableRequest
-		if err := conn.Expect(frame.KindTableRequest, &request, time.Time{}); err != nil {
-			return err
-		}
-		for _, t := range request.Tables {
-			s := frame.TableState{Table: t, Content: x.follower(t).Content()}
-			if err := conn.Send(frame.KindTable, s); err != nil {
-				return err
-			}
-		}
-	}
+// setFollowed records whether a data centre is followed through a connection.
+func (x *Exchange) setFollowed(dataCentre string, followed bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.followed[dataCentre] = followed
 }
 
-// follower returns the follower of a table.
-func (x *Exchange) follower(t catalog.Table) *catalog.Follower {
-	if t == catalog.TableServers {
-		return x.cfg.ServersFollower
-	}
-	return x.cfg.DeclaredFollower
+// isFollowed reports whether a data centre is followed through a connection.
+func (x *Exchange) isFollowed(dataCentre string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.followed[dataCentre]
 }
 
 // ServeHTTP accepts the connection of a peer and returns when it has ended. The
@@ -276,65 +325,31 @@
 	}
 	defer func() { _ = conn.Close() }()
 	var hello frame.EntryHello
-	if err := conn.Expect(frame.KindEntryHello, &hello, x.receiveDeadline()); err != nil {
+	if err := conn.Expect(frame.KindEntryHello, &hello, x.cfg.Clock.Now().Add(receiveTimeout)); err != nil {
 		x.cfg.Log.EventWithError(eventPeerDisconnected, err, eventlog.Fields{"peer": conn.Peer()})
 		return
 	}
-	conn.SetPeer(hello.Instance.ID)
-	x.AddPeer(hello.Instance.Addr)
-	x.cfg.LoadTracker.ResetPeerLoads(hello.Instance.ID)
-	err = x.receiveFrames(conn, hello.Instance.ID)
-	x.cfg.Log.EventWithError(eventPeerDisconnected, err, eventlog.Fields{"peer": hello.Instance.ID, "from": "accepted"})
-}
-
-// receiveDeadline returns the time by which the next message must arrive.
-func (x *Exchange) receiveDeadline() time.Time { return x.cfg.Clock.Now().Add(receiveTimeout) }
-
-// receiveFrames handles the messages of a peer until the connection ends.
-func (x *Exchange) receiveFrames(conn *frame.Conn, peer string) error {
-	lags := map[catalog.Table]*lag{catalog.TableDeclared: {}, catalog.TableServers: {}}
-	for {
-		f, err := conn.Receive(x.receiveDeadline())
-		if err != nil {
-			return err
-		}
-		switch f.Kind {
-		case frame.KindLoadUpdate:
-			var update frame.LoadUpdate
-			if err := f.Decode(&update); err != nil {
-				return err
-			}
-			x.cfg.LoadTracker.UpdatePeerLoads(peer, update.RunningByServer)
-			x.applyAges(update.DeclaredVersions)
-			if err := x.requestTables(conn, peer, update, lags); err != nil {
-				return err
-			}
-		case frame.KindTable:
-			var t frame.TableState
-			if err := f.Decode(&t); err != nil {
-				return err
-			}
-			x.follower(t.Table).AdoptIfNewer(t.Content, peer)
-		}
+	peer := hello.Instance
+	conn.SetPeer(peer.ID)
+	x.AddPeer(peer.Addr, peer.DataCentre)
+	if hello.RequestsHello {
+		err = conn.Send(frame.KindEntryHello, frame.EntryHello{Instance: x.cfg.Self})
+	}
+	switch {
+	case err != nil:
+	case hello.Subscribes:
+		err = x.newSender(conn, true).run(context.Background())
+	default:
+		err = (&receiver{x: x, conn: conn, source: peer.ID, dataCentre: peer.DataCentre}).run()
+		x.forgetReads(peer.ID)
 	}
+	x.cfg.Log.EventWithError(eventPeerDisconnected, err, eventlog.Fields{"peer": peer.ID, "from": "accepted"})
 }
 
-// requestTables requests from the peer each table of which the peer has a revision
-// that the store has not delivered here for too long; see lag.overdue. A table
-// that was requested within maxLag is not requested again.
-func (x *Exchange) requestTables(conn *frame.Conn, peer string, update frame.LoadUpdate, lags map[catalog.Table]*lag) error {
-	var request frame.TableRequest
-	now := x.cfg.Clock.Now()
-	for t, peerRevision := range map[catalog.Table]uint64{
-		catalog.TableDeclared: update.DeclaredRevision, catalog.TableServers: update.ServersRevision,
-	} {
-		if lags[t].overdue(x.follower(t).ChangeRevision(), peerRevision, now) && x.allowRequest(t, now) {
-			request.Tables = append(request.Tables, t)
-		}
-	}
-	if len(request.Tables) == 0 {
-		return nil
+// follower returns the follower of a table.
+func (x *Exchange) follower(t catalog.Table) *catalog.Follower {
+	if t == catalog.TableServers {
+		return x.cfg.ServersFollower
 	}
-	x.cfg.Log.Event(eventTablesRequested, eventlog.Fields{"peer": peer, "tables": len(request.Tables)})
-	return conn.Send(frame.KindTableRequest, request)
+	return x.cfg.DeclaredFollower
 }
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/core"
 	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/process/httpserver"
@@ -48,6 +52,61 @@
 	mu       sync.Mutex
 	running  map[string]int
 	received map[string]int
+	// remote holds the servers whose count another data centre has reported.
+	remote map[string]bool
+	// localReports is the number of complete reports from the own data centre.
+	localReports int
+	// largestReport is the largest number of instances that one report covered.
+	largestReport int
+	// knownCount is the number of known instances.
+	knownCount int
+}
+
+// fakeAgents is an AgentDirectory. It provides the agents set by the test and stores
+// those of other data centres by server address.
+type fakeAgents struct {
+	mu      sync.Mutex
+	local   map[string]frame.RelayedAgent
+	relayed map[string]frame.RelayedAgent
+}
+
+func (a *fakeAgents) LocalAgents() map[string]frame.RelayedAgent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.local)
+}
+
+func (a *fakeAgents) UpdateRelayed(_ string, complete bool, agents []frame.RelayedAgent, gone []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if complete {
+		a.relayed = map[string]frame.RelayedAgent{}
+	}
+	for _, agent := range agents {
+		a.relayed[agent.ServerAddr] = agent
+	}
+	for _, server := range gone {
+		delete(a.relayed, server)
+	}
+}
+
+func (a *fakeAgents) DropRelayed(dataCentre string) { a.UpdateRelayed(dataCentre, true, nil, nil) }
+
+// setLocal sets an agent of the own data centre, or removes it if version is 0.
+func (a *fakeAgents) setLocal(server string, version int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.local[server] = (frame.RelayedAgent{ServerAddr: server, LoadedVersions: map[string]int{"herbs": version}}); version == 0 {
+		delete(a.local, server)
+	}
+}
+
+// relayedVersion returns the version that an agent of another data centre has
+// reported; 0 if that agent is unknown.
+func (a *fakeAgents) relayedVersion(server string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.relayed[server].LoadedVersions["herbs"]
 }
 
 func (l *fakeLoadTracker) RunningByServer() map[string]int {
@@ -62,14 +121,40 @@
 	l.running = running
 }
 
-func (l *fakeLoadTracker) ResetPeerLoads(string) { l.UpdatePeerLoads("", nil) }
+// RunningInDataCentre returns the counts of this instance, and 1 for each server of
+// which another instance of the data centre has reported a count.
+func (l *fakeLoadTracker) RunningInDataCentre() (map[string]int, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := maps.Clone(l.running)
+	if sum == nil {
+		sum = map[string]int{}
+	}
+	for id, n := range l.received {
+		if !l.remote[id] {
+			sum[id] += n
+		}
+	}
+	return sum, 1 + l.localReports
+}
 
-func (l *fakeLoadTracker) UpdatePeerLoads(_ string, running map[string]int) {
+func (l *fakeLoadTracker) UpdatePeerLoads(_ string, r LoadReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, n := range running {
+	for id, n := range r.RunningByServer {
 		l.received[id] = n
+		l.remote[id] = r.Remote
+	}
+	if r.Complete && !r.Remote {
+		l.localReports++
 	}
+	l.largestReport = max(l.largestReport, r.InstanceCount)
+}
+
+func (l *fakeLoadTracker) SetEntryInstanceCount(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.knownCount = n
 }
 
 func (l *fakeLoadTracker) receivedCount(id string) int {
@@ -85,19 +170,57 @@
 	holder                            *catalog.Holder
 	declaredFollower, serversFollower *catalog.Follower
 	loadTracker                       *fakeLoadTracker
+	agents                            *fakeAgents
+	// stop ends the instance and closes its connections.
+	stop func()
+}
+
+// trackingListener keeps the accepted connections, so that a test can close those
+// that have become WebSocket connections.
+type trackingListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
 }
 
-// newTestInstance starts an instance without the address of any other instance.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = append(l.conns, conn)
+	}
+	return conn, err
+}
+
+func (l *trackingListener) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.conns {
+		_ = conn.Close()
+	}
+}
+
+// newTestInstance starts an instance without the address of any other instance. The
+// data centre of the instance is the part of name before a dot; empty without a dot.
 func newTestInstance(t *testing.T, name string) *testInstance {
 	t.Helper()
 	clock, log := clockwork.NewRealClock(), eventlog.Discard()
-	i := &testInstance{holder: catalog.NewHolder(log), loadTracker: &fakeLoadTracker{received: map[string]int{}}}
+	i := &testInstance{holder: catalog.NewHolder(log), loadTracker: &fakeLoadTracker{received: map[string]int{}, remote: map[string]bool{}}}
+	i.agents = &fakeAgents{local: map[string]frame.RelayedAgent{}, relayed: map[string]frame.RelayedAgent{}}
+	dataCentre, _, inDataCentre := strings.Cut(name, ".")
+	if !inDataCentre {
+		dataCentre = ""
+	}
 	i.declaredFollower = catalog.NewFollower(catalog.TableDeclared, unavailableStore{}, i.holder, log, clock)
 	i.serversFollower = catalog.NewFollower(catalog.TableServers, unavailableStore{}, i.holder, log, clock)
 	var handler http.Handler
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }))
+	accepted := &trackingListener{Listener: server.Listener}
+	server.Listener = accepted
+	server.Start()
 	i.Exchange = New(Config{
-		Self: core.Instance{ID: name, Role: core.RoleEntry, Addr: server.Listener.Addr().String()}, Token: token,
+		Self: core.Instance{ID: name, Role: core.RoleEntry, Addr: server.Listener.Addr().String(), DataCentre: dataCentre}, Token: token, Agents: i.agents,
 		Holder: i.holder, DeclaredFollower: i.declaredFollower, ServersFollower: i.serversFollower, LoadTracker: i.loadTracker, Log: log, Clock: clock,
 	})
 	handler = httpserver.RequirePeerToken(token, i.Exchange)
@@ -107,12 +230,14 @@
 		defer close(done)
 		_ = i.Run(ctx)
 	}()
-	t.Cleanup(func() {
+	i.stop = sync.OnceFunc(func() {
 		cancel()
 		<-done
+		accepted.closeAll()
 		server.CloseClientConnections()
 		server.Close()
 	})
+	t.Cleanup(i.stop)
 	return i
 }
 
@@ -121,7 +246,7 @@
 		a, b := newTestInstance(t, "a"), newTestInstance(t, "b")
 		a.loadTracker.set(map[string]int{"s1": 3})
 		b.loadTracker.set(map[string]int{"s2": 5})
-		a.AddPeer(b.cfg.Self.Addr)
+		a.AddPeer(b.cfg.Self.Addr, "")
 		So(wait.Until(func() bool { return b.loadTracker.receivedCount("s1") == 3 && a.loadTracker.receivedCount("s2") == 5 }), ShouldBeTrue)
 		a.loadTracker.set(map[string]int{})
 		So(wait.Until(func() bool { return b.loadTracker.receivedCount("s1") == 0 }), ShouldBeTrue)
@@ -133,7 +258,7 @@
 		a.serversFollower.AdoptIfNewer(catalog.TableContent{Rows: []catalog.Row{{Key: "s1", Revision: 8}}, ChangeRevision: 8, ReadRevision: 9}, "store")
 		declaredAt := time.Now().Add(-3 * time.Second)
 		a.holder.MergeWeights(catalog.Weights{Model: "herbs", Version: 2, DeclaredAt: declaredAt}, time.Now())
-		b.AddPeer(a.cfg.Self.Addr)
+		b.AddPeer(a.cfg.Self.Addr, "")
 		So(wait.Until(func() bool {
 			s := b.holder.Current()
 			return s.Complete() && s.Config.Version == 7 && s.Servers["s1"] != nil && s.Weights["herbs"].Version == 2
--- /dev/null
+++ b/connection/exchange/readers.go
@@ -0,0 +1,119 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/version/catalog"
+)
+
+const (
+	// minSharedReadInstances is the smallest number of entry instances in a data
+	// centre of which one reads a table of the store for all. In a smaller data centre
+	// there is little to save.
+	minSharedReadInstances = 4
+	// peerReadTimeout is the time since the last report of a reader after which the
+	// others read the store themselves. A reader reports at each heartbeatInterval.
+	peerReadTimeout = 900 * time.Millisecond
+	// maxReadAge is the time since the store last responded to a reader after which
+	// the others read the store themselves. A call that waits for changes takes 2.5 s.
+	maxReadAge = 3500 * time.Millisecond
+)
+
+// peerRead is what an entry instance of this data centre last reported about its
+// reads of the store.
+type peerRead struct {
+	reportedAt time.Time
+	// respondedAt is when the store last responded, for the tables that the entry
+	// instance reads.
+	respondedAt map[catalog.Table]time.Time
+}
+
+// readAges returns the ages of the last responses of the store for the tables that
+// this entry instance reads itself, in milliseconds.
+func (x *Exchange) readAges(now time.Time) map[catalog.Table]int64 {
+	ages := map[catalog.Table]int64{}
+	for _, t := range []catalog.Table{catalog.TableDeclared, catalog.TableServers} {
+		if respondedAt, ok := x.follower(t).LastRead(); ok {
+			ages[t] = now.Sub(respondedAt).Milliseconds()
+		}
+	}
+	return ages
+}
+
+// recordReads records what a peer of this data centre reported. agesMs is nil in a
+// report that is no heartbeat.
+func (x *Exchange) recordReads(peer string, agesMs map[catalog.Table]int64) {
+	if agesMs == nil {
+		return
+	}
+	now := x.cfg.Clock.Now()
+	read := peerRead{reportedAt: now, respondedAt: map[catalog.Table]time.Time{}}
+	for t, ms := range agesMs {
+		read.respondedAt[t] = now.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.peerReads[peer] = read
+}
+
+// forgetReads removes what a peer reported, because its connection has ended.
+func (x *Exchange) forgetReads(peer string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.peerReads, peer)
+}
+
+// ReadByPeer reports whether another entry instance of this data centre reads a table
+// and sends the changes to this one.
+func (x *Exchange) ReadByPeer(t catalog.Table) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return readByPeer(x.cfg.Self.ID, t, x.peerReads, x.cfg.Clock.Now())
+}
+
+// readByPeer decides ReadByPeer for the entry instance self. Of the entry instances
+// that read a table, the one with the lowest rank goes on, and the others rely on it:
+// those that have no reader of a lower rank read themselves. If the views differ,
+// more than one reads.
+func readByPeer(self string, t catalog.Table, reads map[string]peerRead, now time.Time) bool {
+	reporting, found := 1, false
+	for peer, r := range reads {
+		if now.Sub(r.reportedAt) >= peerReadTimeout {
+			continue
+		}
+		reporting++
+		respondedAt, ok := r.respondedAt[t]
+		found = found || ok && now.Sub(respondedAt) < maxReadAge && rank(t.Name(), peer) < rank(t.Name(), self)
+	}
+	return found && reporting >= minSharedReadInstances
+}
+
+// SendChanges sends changes that this entry instance has read from the store to its
+// peers. A peer whose queue is full misses them and reads the store itself.
+func (x *Exchange) SendChanges(t catalog.Table, c catalog.RowChanges) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for queue := range x.changeQueues {
+		select {
+		case queue <- frame.TableChanges{Table: t, Changes: c}:
+		default:
+		}
+	}
+}
+
+// addChangeQueue returns a new queue that receives the changes of SendChanges.
+func (x *Exchange) addChangeQueue() chan frame.TableChanges {
+	queue := make(chan frame.TableChanges, changeQueueLength)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.changeQueues[queue] = true
+	return queue
+}
+
+// removeChangeQueue removes a queue.
+func (x *Exchange) removeChangeQueue(queue chan frame.TableChanges) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.changeQueues, queue)
+}
--- /dev/null
+++ b/connection/exchange/send.go
@@ -0,0 +1,208 @@
+package exchange
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/version/catalog"
+)
+
+const (
+	// sendInterval is the time between two messages while counts change. A
+	// backend server that receives 12 requests per second receives about half a
+	// request in this time, so its count changes little between two messages.
+	sendInterval = 50 * time.Millisecond
+	// relayInterval is the same for reports about a whole data centre, which go to
+	// other data centres. Few requests go there.
+	relayInterval = 100 * time.Millisecond
+	// heartbeatInterval is the longest time between two messages, also while no
+	// count changes.
+	heartbeatInterval = 500 * time.Millisecond
+	// changeQueueLength is the number of changes of tables that wait to be sent on one
+	// connection. A receiver that misses changes reads the store itself.
+	changeQueueLength = 32
+)
+
+// sender sends reports on one connection: about this entry instance to a peer, or
+// about its data centre to a follower.
+type sender struct {
+	x    *Exchange
+	conn *frame.Conn
+	// relays is true if the reports are about the whole data centre.
+	relays bool
+	// sentRunning, sentAgents and sentEntryCount are what the receiver already has:
+	// the counts, the agents by server address, and the length of x.learned.
+	sentRunning    map[string]int
+	sentAgents     map[string]frame.RelayedAgent
+	sentEntryCount int
+	// lastHeartbeat is the time of the last heartbeat; zero before the first report.
+	lastHeartbeat time.Time
+}
+
+func (x *Exchange) newSender(conn *frame.Conn, relays bool) *sender {
+	return &sender{x: x, conn: conn, relays: relays, sentRunning: map[string]int{}, sentAgents: map[string]frame.RelayedAgent{}}
+}
+
+// run sends reports, and the tables that the receiver requests, until ctx or the
+// connection ends. To a peer it also sends the changes that this entry instance reads
+// from the store.
+func (s *sender) run(ctx context.Context) error {
+	interval := sendInterval
+	var changes chan frame.TableChanges
+	if s.relays {
+		interval = relayInterval
+	} else {
+		changes = s.x.addChangeQueue()
+		defer s.x.removeChangeQueue(changes)
+	}
+	requestsEnded := make(chan error, 1)
+	go func() { requestsEnded <- s.serveTableRequests() }()
+	for {
+		if err := s.sendReport(s.x.cfg.Clock.Now()); err != nil {
+			return err
+		}
+		next := s.x.cfg.Clock.After(interval)
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return nil
+			case err := <-requestsEnded:
+				return err
+			case c := <-changes:
+				if err := s.conn.Send(frame.KindTableChanges, c); err != nil {
+					return err
+				}
+			case <-next:
+				waiting = false
+			}
+		}
+	}
+}
+
+// sendReport sends what has changed since the last report, and a heartbeat if one is
+// due.
+func (s *sender) sendReport(now time.Time) error {
+	x := s.x
+	update := frame.LoadUpdate{
+		DeclaredRevision: x.cfg.DeclaredFollower.ChangeRevision(), ServersRevision: x.cfg.ServersFollower.ChangeRevision(),
+		Complete: s.lastHeartbeat.IsZero(), Entries: x.learnedSince(s.sentEntryCount),
+	}
+	running := map[string]int(nil)
+	if s.relays {
+		running, update.InstanceCount = x.cfg.LoadTracker.RunningInDataCentre()
+		update.Agents, update.GoneAgents = s.changedAgents(x.cfg.Agents.LocalAgents())
+	} else {
+		running = x.cfg.LoadTracker.RunningByServer()
+	}
+	update.RunningByServer = changedCounts(s.sentRunning, running)
+	if heartbeatDue := now.Sub(s.lastHeartbeat) >= heartbeatInterval; heartbeatDue {
+		update.DeclaredVersions, update.ReadAgesMs = x.recentVersions(now), x.readAges(now)
+		s.lastHeartbeat = now
+	} else if len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents) == 0 {
+		return nil
+	}
+	s.sentEntryCount += len(update.Entries)
+	return s.conn.Send(frame.KindLoadUpdate, update)
+}
+
+// changedAgents returns the agents in current that differ from those in sentAgents,
+// and the server addresses of those that are missing in current. It updates
+// sentAgents to match current.
+func (s *sender) changedAgents(current map[string]frame.RelayedAgent) (changed []frame.RelayedAgent, gone []string) {
+	for server, a := range current {
+		old, ok := s.sentAgents[server]
+		if ok && old.Instance == a.Instance && old.Loading == a.Loading && maps.Equal(old.LoadedVersions, a.LoadedVersions) {
+			continue
+		}
+		s.sentAgents[server] = a
+		changed = append(changed, a)
+	}
+	for server := range s.sentAgents {
+		if _, ok := current[server]; !ok {
+			delete(s.sentAgents, server)
+			gone = append(gone, server)
+		}
+	}
+	return changed, gone
+}
+
+// changedCounts returns the counts in current that differ from those in sent, and
+// 0 for servers that have a count in sent but are missing in current. It updates
+// sent to match current.
+func changedCounts(sent, current map[string]int) map[string]int {
+	changed := map[string]int{}
+	for id, n := range current {
+		if sent[id] != n {
+			changed[id], sent[id] = n, n
+		}
+	}
+	for id, n := range sent {
+		if _, ok := current[id]; !ok {
+			if n != 0 {
+				changed[id] = 0
+			}
+			delete(sent, id)
+		}
+	}
+	return changed
+}
+
+// ageSendPeriod is how long after the declaration of a version of the weights
+// the version's age is sent to peers. A peer that was paused or disconnected
+// receives the declaration late and has no other source for the age.
+const ageSendPeriod = 20 * time.Second
+
+// recentVersions returns the versions of the weights declared within the last
+// ageSendPeriod, with their ages.
+func (x *Exchange) recentVersions(now time.Time) []frame.WantedVersion {
+	var recent []frame.WantedVersion
+	for _, w := range x.cfg.Holder.Current().RecentVersions(now, ageSendPeriod) {
+		recent = append(recent, frame.WantedVersion{
+			Model: w.Model, Version: w.Version, AgeMs: now.Sub(w.DeclaredAt).Milliseconds(),
+		})
+	}
+	return recent
+}
+
+// serveTableRequests sends the tables that the receiver of the reports requests,
+// until the connection ends. It adds the receiver to the known entry instances if the
+// receiver introduces itself.
+func (s *sender) serveTableRequests() error {
+	for {
+		f, err := s.conn.Receive(time.Time{})
+		if err != nil {
+			return err
+		}
+		switch f.Kind {
+		case frame.KindEntryHello:
+			var hello frame.EntryHello
+			if err := f.Decode(&hello); err != nil {
+				return err
+			}
+			s.x.AddPeer(hello.Instance.Addr, hello.Instance.DataCentre)
+		case frame.KindTableRequest:
+			if err := s.sendTables(f); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// sendTables sends the tables that a TableRequest lists.
+func (s *sender) sendTables(f frame.Frame) error {
+	var request frame.TableRequest
+	if err := f.Decode(&request); err != nil {
+		return err
+	}
+	for _, t := range request.Tables {
+		if t != catalog.TableDeclared && t != catalog.TableServers {
+			continue
+		}
+		if err := s.conn.Send(frame.KindTable, frame.TableState{Table: t, Content: s.x.follower(t).Content()}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/connection/fleet/entryconnections.go
+++ b/connection/fleet/entryconnections.go
@@ -52,10 +52,14 @@
 	state frame.AgentState
 	// changed is closed and replaced when state or listSenders changes.
 	changed chan struct{}
-	// known holds the addresses that addEntry has queued.
-	known map[string]bool
-	// discovered receives the known addresses that Run has yet to dial.
-	discovered chan string
+	// known maps the addresses of the known entry instances to their data centres; a
+	// name is empty if the data centre is unknown.
+	known map[string]string
+	// failingSince holds, for the entry instances that cannot be reached, the time of
+	// the first failure.
+	failingSince map[string]time.Time
+	// knownChanged receives a value when known has changed.
+	knownChanged chan struct{}
 	// connected maps the addresses of the connected entry instances to their data
 	// centres.
 	connected map[string]string
@@ -67,8 +71,8 @@
 // NewEntryConnections returns EntryConnections without connections; Run opens them.
 func NewEntryConnections(cfg EntryConnectionsConfig) *EntryConnections {
 	return &EntryConnections{
-		cfg: cfg, changed: make(chan struct{}), known: map[string]bool{}, discovered: make(chan string, 64),
-		connected: map[string]string{},
+		cfg: cfg, changed: make(chan struct{}), known: map[string]string{}, failingSince: map[string]time.Time{},
+		knownChanged: make(chan struct{}, 1), connected: map[string]string{},
 	}
 }
 
@@ -92,17 +96,22 @@
 func (c *EntryConnections) markConnected(addr, dataCentre string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.failingSince, addr)
 	if old, ok := c.connected[addr]; !ok || old != dataCentre {
 		c.connected[addr] = dataCentre
 		c.updateListSenders()
 	}
 }
 
-// markDisconnected records that the connection to an entry instance has ended.
-func (c *EntryConnections) markDisconnected(addr string) {
+// markDisconnected records that the connection to an entry instance has ended, or
+// could not be opened. failed is false if the agent has closed it itself.
+func (c *EntryConnections) markDisconnected(addr string, failed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.connected, addr)
+	if _, ok := c.failingSince[addr]; !ok && failed {
+		c.failingSince[addr] = c.cfg.Clock.Now()
+	}
 	c.updateListSenders()
 }
 
@@ -117,35 +126,71 @@
 	}
 }
 
-// Run dials the entry instances, and redials each one after a lost connection,
-// until ctx ends.
+// chooseInterval is the longest time between two choices of entry instances. A choice
+// depends on which of them cannot be reached.
+const chooseInterval = time.Second
+
+// Run keeps connections to the entry instances that chooseEntries returns, and
+// redials each one after a lost connection, until ctx ends.
 func (c *EntryConnections) Run(ctx context.Context) error {
 	var connections sync.WaitGroup
 	defer connections.Wait()
 	for _, addr := range c.cfg.EntryAddrs {
-		c.addEntry(addr)
+		c.addEntry(addr, "")
 	}
+	cancels := map[string]context.CancelFunc{}
 	for {
+		chosen := c.chooseEntries()
+		for addr := range chosen {
+			if cancels[addr] == nil {
+				connCtx, cancel := context.WithCancel(ctx)
+				cancels[addr] = cancel
+				connections.Go(func() { c.maintainConnection(connCtx, addr) })
+			}
+		}
+		for addr, cancel := range cancels {
+			if !chosen[addr] {
+				cancel()
+				delete(cancels, addr)
+			}
+		}
 		select {
 		case <-ctx.Done():
+			for _, cancel := range cancels {
+				cancel()
+			}
 			return nil
-		case addr := <-c.discovered:
-			connections.Go(func() { c.maintainConnection(ctx, addr) })
+		case <-c.knownChanged:
+		case <-c.cfg.Clock.After(chooseInterval):
 		}
 	}
 }
 
-// addEntry queues an entry instance for dialling unless it is known. While the
-// queue is full, the address is dropped.
-func (c *EntryConnections) addEntry(addr string) {
+// chooseEntries returns the addresses of the entry instances to which the agent
+// should be connected.
+func (c *EntryConnections) chooseEntries() map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock.Now()
+	failing := map[string]bool{}
+	for addr, since := range c.failingSince {
+		failing[addr] = now.Sub(since) >= failingPeriod
+	}
+	self := c.cfg.Hello.Instance
+	return chooseEntries(self.ID, self.DataCentre, c.known, failing)
+}
+
+// addEntry adds an entry instance to the known ones. dataCentre is empty if it is
+// unknown; a data centre that is already known is kept.
+func (c *EntryConnections) addEntry(addr, dataCentre string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.known[addr] {
+	if old, ok := c.known[addr]; ok && (dataCentre == "" || old != "") {
 		return
 	}
+	c.known[addr] = dataCentre
 	select {
-	case c.discovered <- addr:
-		c.known[addr] = true
+	case c.knownChanged <- struct{}{}:
 	default:
 	}
 }
@@ -155,7 +200,7 @@
 func (c *EntryConnections) maintainConnection(ctx context.Context, addr string) {
 	session := func(ctx context.Context, timeout time.Duration) error {
 		err := c.runSession(ctx, addr, timeout)
-		c.markDisconnected(addr)
+		c.markDisconnected(addr, ctx.Err() == nil)
 		c.cfg.OnFleet(addr, nil)
 		return err
 	}
@@ -195,8 +240,13 @@
 		if err := f.Decode(&fleet); err != nil {
 			return err
 		}
-		for _, entry := range fleet.EntryAddrs {
-			c.addEntry(entry)
+		c.addEntry(addr, fleet.DataCentre)
+		for i, entry := range fleet.EntryAddrs {
+			dataCentre := ""
+			if i < len(fleet.EntryDataCentres) {
+				dataCentre = fleet.EntryDataCentres[i]
+			}
+			c.addEntry(entry, dataCentre)
 		}
 		c.markConnected(addr, fleet.DataCentre)
 		c.cfg.OnFleet(addr, &fleet)
--- a/connection/fleet/fleet_test.go
+++ b/connection/fleet/fleet_test.go
@@ -26,6 +26,7 @@
 // report, by the address of their backend server.
 type testEntry struct {
 	holder *catalog.Holder
+	hub    *Hub
 	server *httptest.Server
 
 	mu     sync.Mutex
@@ -35,9 +36,9 @@
 func newTestEntry(t *testing.T) *testEntry {
 	t.Helper()
 	e := &testEntry{holder: catalog.NewHolder(eventlog.Discard()), states: map[string]frame.AgentState{}}
-	hub := NewHub(HubConfig{
+	e.hub = NewHub(HubConfig{
 		Holder: e.holder, Log: eventlog.Discard(), Clock: clockwork.NewRealClock(),
-		EntryAddrs: func() []string { return nil },
+		KnownEntries: func() ([]frame.EntryAddr, <-chan struct{}) { return nil, nil },
 		OnAgentState: func(server string, s *frame.AgentState) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -47,7 +48,7 @@
 			}
 		},
 	})
-	e.server = httptest.NewServer(httpserver.RequirePeerToken(token, hub))
+	e.server = httptest.NewServer(httpserver.RequirePeerToken(token, e.hub))
 	e.declare(1, &catalog.Config{Version: 1, Services: map[string]*catalog.Service{
 		"label":   {Name: "label", Engine: &catalog.Engine{Models: []string{"herbs"}, ChunkCount: 48, ChunkBytes: 512}},
 		"weights": {Name: "weights", Origin: &catalog.Origin{Addr: "10.0.0.1:80", BytesPerSecond: 1000}},
--- a/connection/fleet/hub.go
+++ b/connection/fleet/hub.go
@@ -39,8 +39,9 @@
 	// OnAgentState is called with the address of a backend server and each state
 	// that its agent reports, and with a nil state when the agent has disconnected.
 	OnAgentState func(server string, state *frame.AgentState)
-	// EntryAddrs returns the addresses of the known entry instances.
-	EntryAddrs func() []string
+	// KnownEntries returns the known entry instances, and a channel that is closed
+	// when there are more.
+	KnownEntries func() ([]frame.EntryAddr, <-chan struct{})
 	// Log receives an event when an agent connects, disconnects or reports a change.
 	Log *eventlog.Logger
 	// Clock is the time source.
@@ -54,15 +55,21 @@
 	mu  sync.Mutex
 	// agents holds the connected agents by the address of their backend server.
 	agents map[string]*agentConn
+	// relayed holds the agents of other data centres, by data centre and by the
+	// address of their backend server. For an agent that is also in agents, the state
+	// in agents counts.
+	relayed map[string]map[string]frame.RelayedAgent
 	// changed is closed and replaced when an agent connects or disconnects.
 	changed chan struct{}
 }
 
-// agentConn is the connection of one agent. Hub.mu guards state.
+// agentConn is the connection of one agent. Hub.mu guards state and reported.
 type agentConn struct {
 	hello frame.AgentHello
 	state frame.AgentState
-	conn  *frame.Conn
+	// reported is true once the agent has sent a state.
+	reported bool
+	conn     *frame.Conn
 	// listToggled receives a value when the agent starts or stops requesting
 	// the list of agents.
 	listToggled chan struct{}
@@ -70,7 +77,7 @@
 
 // NewHub returns a Hub that has no connections yet.
 func NewHub(cfg HubConfig) *Hub {
-	return &Hub{cfg: cfg, agents: map[string]*agentConn{}, changed: make(chan struct{})}
+	return &Hub{cfg: cfg, agents: map[string]*agentConn{}, relayed: map[string]map[string]frame.RelayedAgent{}, changed: make(chan struct{})}
 }
 
 // ServeHTTP accepts the connection of an agent and returns when it has ended.
@@ -129,7 +136,7 @@
 	}
 	h.mu.Unlock()
 	if current {
-		h.cfg.OnAgentState(a.hello.ServerAddr, nil)
+		h.cfg.OnAgentState(a.hello.ServerAddr, h.relayedState(a.hello.ServerAddr))
 		h.cfg.Log.EventWithError(eventAgentGone, err, eventlog.Fields{"agent": a.hello.Instance.ID, "server": a.hello.ServerAddr})
 	}
 }
@@ -171,7 +178,7 @@
 		default:
 		}
 	}
-	a.state = s
+	a.state, a.reported = s, true
 	current := h.agents[a.hello.ServerAddr] == a
 	h.mu.Unlock()
 	if !current {
@@ -192,11 +199,12 @@
 	var lastSent *catalog.Snapshot
 	for {
 		agentsChanged := h.agentsChanged()
+		entries, entriesChanged := h.cfg.KnownEntries()
 		catalogChanged := h.cfg.Holder.Changed()
 		snapshot := h.cfg.Holder.Current()
 		var err error
 		if lastSent == nil || !sameVersionsAndOrigin(lastSent, snapshot) {
-			err = a.conn.Send(frame.KindFleet, h.fleetMessage(snapshot, a))
+			err = a.conn.Send(frame.KindFleet, h.fleetMessage(snapshot, entries, a))
 			lastSent = snapshot
 		} else {
 			err = a.conn.Send(frame.KindNotice, struct{}{})
@@ -205,7 +213,7 @@
 			_ = a.conn.Close()
 			return
 		}
-		if !h.waitForUpdate(ctx, a, agentsChanged, catalogChanged, &lastSent) {
+		if !h.waitForUpdate(ctx, a, agentsChanged, entriesChanged, catalogChanged, &lastSent) {
 			return
 		}
 	}
@@ -213,12 +221,14 @@
 
 // waitForUpdate waits until a message is due, because of a change or for a
 // heartbeat. After a change of the list of agents or of the catalogue it also
-// waits for batchDelay. It sets *lastSent to nil, so that the fleet message is
-// sent again, in two cases: the agent starts or stops requesting the list of
-// agents, or the list changes while the agent requests it. It returns false when
-// ctx ends.
-func (h *Hub) waitForUpdate(ctx context.Context, a *agentConn, agentsChanged, catalogChanged <-chan struct{}, lastSent **catalog.Snapshot) bool {
+// waits for batchDelay, and after a change of the known entry instances for the next
+// heartbeat. It sets *lastSent to nil, so that the fleet message is sent again, in
+// three cases: the agent starts or stops requesting the list of agents, the list
+// changes while the agent requests it, or there are more entry instances. It returns
+// false when ctx ends.
+func (h *Hub) waitForUpdate(ctx context.Context, a *agentConn, agentsChanged, entriesChanged, catalogChanged <-chan struct{}, lastSent **catalog.Snapshot) bool {
 	heartbeat := h.cfg.Clock.After(heartbeatInterval)
+	sent := *lastSent
 	for {
 		select {
 		case <-ctx.Done():
@@ -234,8 +244,11 @@
 				continue
 			}
 			*lastSent = nil
+		case <-entriesChanged:
+			*lastSent, entriesChanged = nil, nil
+			continue
 		case <-catalogChanged:
-			if sameVersionsAndOrigin(*lastSent, h.cfg.Holder.Current()) {
+			if sameVersionsAndOrigin(sent, h.cfg.Holder.Current()) {
 				// Fleet messages do not contain what has changed, which is
 				// usually a backend server.
 				catalogChanged = h.cfg.Holder.Changed()
@@ -296,8 +309,11 @@
 
 // fleetMessage builds the message for an agent: the wanted versions, their
 // origin, the entry instances and, if the agent requests it, the list of agents.
-func (h *Hub) fleetMessage(s *catalog.Snapshot, recipient *agentConn) frame.Fleet {
-	f := frame.Fleet{EntryAddrs: h.cfg.EntryAddrs(), DataCentre: h.cfg.DataCentre}
+func (h *Hub) fleetMessage(s *catalog.Snapshot, entries []frame.EntryAddr, recipient *agentConn) frame.Fleet {
+	f := frame.Fleet{DataCentre: h.cfg.DataCentre}
+	for _, e := range entries {
+		f.EntryAddrs, f.EntryDataCentres = append(f.EntryAddrs, e.Addr), append(f.EntryDataCentres, e.DataCentre)
+	}
 	now := h.cfg.Clock.Now()
 	wantedVersions := map[string]int{}
 	if s.Config != nil {
@@ -323,9 +339,18 @@
 	}
 	for _, a := range h.agents {
 		f.Agents = append(f.Agents, frame.FleetAgent{
-			Instance: a.hello.Instance, ServerAddr: a.hello.ServerAddr, HasDeclaredVersion: hasLoadedAnyWanted(a.state, wantedVersions),
+			Instance: a.hello.Instance, ServerAddr: a.hello.ServerAddr, HasDeclaredVersion: hasLoadedAnyWanted(a.state.LoadedVersions, wantedVersions),
 		})
 	}
+	for _, agents := range h.relayed {
+		for server, a := range agents {
+			if h.agents[server] == nil {
+				f.Agents = append(f.Agents, frame.FleetAgent{
+					Instance: a.Instance, ServerAddr: server, HasDeclaredVersion: hasLoadedAnyWanted(a.LoadedVersions, wantedVersions),
+				})
+			}
+		}
+	}
 	return f
 }
 
@@ -342,8 +367,8 @@
 
 // hasLoadedAnyWanted reports whether a backend server has loaded the wanted
 // version of at least one model.
-func hasLoadedAnyWanted(s frame.AgentState, wantedVersions map[string]int) bool {
-	for model, version := range s.LoadedVersions {
+func hasLoadedAnyWanted(loadedVersions, wantedVersions map[string]int) bool {
+	for model, version := range loadedVersions {
 		if version == wantedVersions[model] {
 			return true
 		}
--- a/connection/fleet/listsenders.go
+++ b/connection/fleet/listsenders.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"sort"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "sort"
 
 // listSenderCount is the number of entry instances that send an agent the list of
 // agents. With two, the list stays up to date when the connection to one of them
@@ -27,13 +23,12 @@
 	for addr := range connected {
 		addrs = append(addrs, addr)
 	}
-	rank := func(addr string) uint64 { return xxhash.Sum64String(agent + " " + addr) }
 	sort.Slice(addrs, func(i, j int) bool {
 		a, b := addrs[i], addrs[j]
 		if local := connected[a] == dataCentre; local != (connected[b] == dataCentre) {
 			return local
 		}
-		return rank(a) < rank(b)
+		return entryRank(agent, a) < entryRank(agent, b)
 	})
 	chosen := map[string]bool{}
 	for _, addr := range addrs {
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -16,16 +16,31 @@
 	KindAgentHello   Kind = 36 // agent to entry instance: first message on a connection
 	KindAgentState   Kind = 37 // agent to entry instance: versions loaded by its backend server
 	KindFleet        Kind = 38 // entry instance to agent: versions to load and their sources
+	KindTableChanges Kind = 39 // between entry instances: changes of a table, read from the store
 )
 
 // EntryHello is the first message on a connection between entry instances.
 type EntryHello struct {
 	// Instance is the entry instance that sends the message.
 	Instance core.Instance `cbor:"1,keyasint"`
+	// RequestsHello is true if the receiver responds with an EntryHello of its own.
+	RequestsHello bool `cbor:"2,keyasint,omitempty"`
+	// Subscribes is true if the receiver reports the load of its whole data centre
+	// on this connection. Otherwise the sender reports its own load.
+	Subscribes bool `cbor:"3,keyasint,omitempty"`
 }
 
-// LoadUpdate reports to another entry instance how many requests the sender has in
-// flight at each backend server and which revisions its tables have.
+// EntryAddr is the address of an entry instance.
+type EntryAddr struct {
+	// Addr is the address for connections from agents and from other entry instances.
+	Addr string `cbor:"1,keyasint"`
+	// DataCentre is the name of the entry instance's data centre; empty if unknown.
+	DataCentre string `cbor:"2,keyasint,omitempty"`
+}
+
+// LoadUpdate reports to another entry instance how many requests the sender, or its
+// whole data centre, has in flight at each backend server and which revisions the
+// sender's tables have.
 type LoadUpdate struct {
 	// DeclaredRevision is the revision of the newest change in the sender's table
 	// of declarations.
@@ -34,12 +49,41 @@
 	// of backend servers.
 	ServersRevision uint64 `cbor:"2,keyasint"`
 	// RunningByServer maps the id of a backend server to the number of requests
-	// that the sender has in flight there. It contains only the numbers that
-	// have changed since the last message.
+	// in flight there. It contains only the numbers that have changed since the last
+	// message.
 	RunningByServer map[string]int `cbor:"3,keyasint,omitempty"`
 	// DeclaredVersions are the recently declared model versions with the time
 	// since their declaration.
 	DeclaredVersions []WantedVersion `cbor:"4,keyasint,omitempty"`
+	// Complete is true in the first message on a connection: RunningByServer and
+	// Agents then replace everything that an earlier connection has reported.
+	Complete bool `cbor:"5,keyasint,omitempty"`
+	// InstanceCount is the number of entry instances whose requests are counted; 0
+	// means the sender alone.
+	InstanceCount int `cbor:"6,keyasint,omitempty"`
+	// Agents are the agents of the sender's data centre that have connected or have
+	// reported a change since the last message. They are only sent to subscribers.
+	Agents []RelayedAgent `cbor:"7,keyasint,omitempty"`
+	// GoneAgents are the server addresses of the agents that have disconnected.
+	GoneAgents []string `cbor:"8,keyasint,omitempty"`
+	// Entries are the entry instances that the sender has learned of since the last
+	// message.
+	Entries []EntryAddr `cbor:"9,keyasint,omitempty"`
+	// ReadAgesMs holds, by table, the time since the store last responded to the
+	// sender, in milliseconds. A table is missing while the store does not respond.
+	// It is only sent with heartbeats.
+	ReadAgesMs map[catalog.Table]int64 `cbor:"10,keyasint,omitempty"`
+}
+
+// RelayedAgent is an agent as the entry instances of its data centre see it.
+type RelayedAgent struct {
+	// Instance is the agent.
+	Instance core.Instance `cbor:"1,keyasint"`
+	// ServerAddr is the address of the agent's backend server.
+	ServerAddr string `cbor:"2,keyasint"`
+	// LoadedVersions and Loading are the values of the agent's last AgentState.
+	LoadedVersions map[string]int `cbor:"3,keyasint,omitempty"`
+	Loading        bool           `cbor:"4,keyasint,omitempty"`
 }
 
 // TableRequest requests the content of tables.
@@ -57,6 +101,14 @@
 	Content catalog.TableContent `cbor:"2,keyasint"`
 }
 
+// TableChanges holds changes of a table that the sender has read from the store.
+type TableChanges struct {
+	// Table identifies the table.
+	Table catalog.Table `cbor:"1,keyasint"`
+	// Changes are the changes.
+	Changes catalog.RowChanges `cbor:"2,keyasint"`
+}
+
 // AgentHello is an agent's first message on a connection to an entry instance.
 type AgentHello struct {
 	// Instance is the agent. Its Addr is the address from which other agents
@@ -127,4 +179,7 @@
 	EntryAddrs []string `cbor:"5,keyasint"`
 	// DataCentre is the data centre of the sender.
 	DataCentre string `cbor:"6,keyasint"`
+	// EntryDataCentres are the data centres of EntryAddrs, in the same order; a name
+	// is empty if the data centre is unknown.
+	EntryDataCentres []string `cbor:"7,keyasint,omitempty"`
 }
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rattanway/rattanway/connection/backend"
 	"github.com/rattanway/rattanway/connection/exchange"
 	"github.com/rattanway/rattanway/connection/fleet"
+	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/core"
 	"github.com/rattanway/rattanway/platform"
 	"github.com/rattanway/rattanway/process/eventlog"
@@ -41,9 +42,6 @@
 	// keeps the heap small. Under load, an entry instance uses 4.7 % of a core
 	// at this value and 4.3 % at 100.
 	entryGCPercent = 30
-	// announceRetryPause is the pause between two attempts to write this
-	// instance's address to the store and to read the other addresses.
-	announceRetryPause = 500 * time.Millisecond
 )
 
 // entry holds the components of an entry instance.
@@ -96,7 +94,7 @@
 	e.declaredFollower = catalog.NewFollower(catalog.TableDeclared, e.store, e.catalogHolder, log, clock)
 	e.serversFollower = catalog.NewFollower(catalog.TableServers, e.store, e.catalogHolder, log, clock)
 	e.scheduler = dispatch.NewScheduler(dispatch.Config{
-		DataCentre: s.DataCentre, Regions: s.Regions,
+		Self: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
 		RetryLimits: dispatch.RetryLimits{
 			Ratio: s.Bounds.RetryBudgetRatio, Slack: s.Bounds.RetryBudgetSlack,
 			Window: time.Duration(s.Bounds.RetryBudgetWindowS * float64(time.Second)),
@@ -104,15 +102,19 @@
 		WeightsDueAfter: weightsDueAfter(&s) - weightsMargin,
 		MaxWaitShare:    maxWaitShare,
 	}, e.catalogHolder, clock)
+	e.fleetHub = fleet.NewHub(fleet.HubConfig{
+		DataCentre: s.DataCentre, Holder: e.catalogHolder, OnAgentState: e.scheduler.SetAgentState,
+		KnownEntries: func() ([]frame.EntryAddr, <-chan struct{}) { return e.exchange.KnownEntries() }, Log: log, Clock: clock,
+	})
 	e.exchange = exchange.New(exchange.Config{
 		Self: core.Instance{
 			ID: s.Name, Role: core.RoleEntry, Addr: s.Listen.Peers, DataCentre: s.DataCentre, Region: s.Region,
 		},
-		Token: o.Token, Holder: e.catalogHolder, DeclaredFollower: e.declaredFollower, ServersFollower: e.serversFollower, LoadTracker: e.scheduler, Log: log, Clock: clock,
-	})
-	e.fleetHub = fleet.NewHub(fleet.HubConfig{
-		DataCentre: s.DataCentre, Holder: e.catalogHolder, OnAgentState: e.scheduler.SetAgentState, EntryAddrs: e.exchange.KnownAddrs, Log: log, Clock: clock,
+		Token: o.Token, Holder: e.catalogHolder, DeclaredFollower: e.declaredFollower, ServersFollower: e.serversFollower,
+		LoadTracker: e.scheduler, Agents: e.fleetHub, Log: log, Clock: clock,
 	})
+	e.shareReads(catalog.TableDeclared, e.declaredFollower)
+	e.shareReads(catalog.TableServers, e.serversFollower)
 	e.handler = forward.New(forward.Config{
 		Headers: platform.HeaderNames(), Holder: e.catalogHolder, Scheduler: e.scheduler, Pool: e.connPool,
 		Log: log, Clock: clock, Metrics: e.metricsRegistry,
@@ -120,6 +122,11 @@
 	return e
 }
 
+// shareReads makes the entry instances of a data centre share their reads of a table.
+func (e *entry) shareReads(t catalog.Table, f *catalog.Follower) {
+	f.Share(func() bool { return e.exchange.ReadByPeer(t) }, func(c catalog.RowChanges) { e.exchange.SendChanges(t, c) })
+}
+
 // weightsDueAfter returns the time after the declaration of new weights from which
 // no request may start on older ones.
 func weightsDueAfter(s *platform.Settings) time.Duration {
@@ -169,7 +176,7 @@
 		"dataCentre": e.settings.DataCentre, "store": e.settings.Store.Addr,
 	})
 	for _, addr := range e.settings.EntryAddrs {
-		e.exchange.AddPeer(addr)
+		e.exchange.AddPeer(addr, "")
 	}
 	err = g.Run()
 	e.log.Event(eventStopped, eventlog.Fields{"running": e.handler.ActiveCount()})
@@ -232,42 +239,6 @@
 	}
 }
 
-// announceAddress writes this instance's address to the store and reads the
-// addresses of the other entry instances. It retries until both succeed, and
-// returns when ctx ends.
-func (e *entry) announceAddress(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := e.store.Put(ctx, catalog.TableEntries, e.settings.Name, []byte(e.settings.Listen.Peers))
-		if err == nil {
-			err = e.readEntries(ctx)
-		}
-		if err == nil {
-			break
-		}
-		e.log.EventWithError(eventEntries, err, eventlog.Fields{})
-		select {
-		case <-ctx.Done():
-		case <-e.clock.After(announceRetryPause):
-		}
-	}
-	<-ctx.Done()
-	return nil
-}
-
-// readEntries reads the addresses of the entry instances from the store and adds
-// them to the exchange as peers.
-func (e *entry) readEntries(ctx context.Context) error {
-	rows, _, err := e.store.List(ctx, catalog.TableEntries)
-	if err != nil {
-		return err
-	}
-	for _, r := range rows {
-		e.exchange.AddPeer(string(r.Value))
-	}
-	e.log.Event(eventEntries, eventlog.Fields{"entries": len(rows)})
-	return nil
-}
-
 // removeUnlistedServers removes from the scheduler, after each change of the
 // catalogue, the servers that are no longer listed. It returns when ctx ends.
 func (e *entry) removeUnlistedServers(ctx context.Context) error {
@@ -288,7 +259,7 @@
 func (e *entry) applySettings(s platform.Settings) {
 	e.store.SetAddr(s.Store.Addr)
 	for _, addr := range s.EntryAddrs {
-		e.exchange.AddPeer(addr)
+		e.exchange.AddPeer(addr, "")
 	}
 }
 
--- a/request/dispatch/decisions_test.go
+++ b/request/dispatch/decisions_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 		for ms := range 5000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
 			for i := range limiters {
-				if limiters[i].Allows(now, ratePerSecond, entryInstanceCount) {
+				if limiters[i].Allows(now, ratePerSecond, entryInstanceCount, 0) {
 					limiters[i].RecordSend(now)
 					sendTimes = append(sendTimes, now)
 				}
@@ -70,6 +71,27 @@
 		// The limiters do not waste any of the rate.
 		So(len(sendTimes), ShouldEqual, 5*int(ratePerSecond))
 	})
+
+	Convey("More entry instances than requests per second stay within the bound of the platform for nearly every server", t, func() {
+		// The platform allows 1.5 times the rate plus 5 requests in a second.
+		const ratePerSecond, allowedPerSecond, entryInstanceCount, serverCount = 15.0, 27, 59, 200
+		sum := 0
+		for server := range serverCount {
+			limiters := make([]ColdRateLimiter, entryInstanceCount)
+			sendCount := 0
+			now := time.Now()
+			for i := range limiters {
+				rank := shareRank(fmt.Sprintf("server-%d", server), fmt.Sprintf("entry-%d", i))
+				for limiters[i].Allows(now, ratePerSecond, entryInstanceCount, rank) {
+					limiters[i].RecordSend(now)
+					sendCount++
+				}
+			}
+			So(sendCount, ShouldBeBetweenOrEqual, 1, allowedPerSecond)
+			sum += sendCount
+		}
+		So(float64(sum)/serverCount, ShouldBeBetween, 0.9*ratePerSecond, 1.1*ratePerSecond)
+	})
 }
 
 // maxCountWithin returns the largest number of the given times that lie within
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/rattanway/rattanway/connection/exchange"
 	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/version/catalog"
 )
@@ -28,6 +29,8 @@
 
 // Config holds the settings of a [Scheduler].
 type Config struct {
+	// Self is the ID of this entry instance.
+	Self string
 	// DataCentre is the data centre of this entry instance.
 	DataCentre string
 	// Regions maps each data centre to its region.
@@ -50,11 +53,6 @@
 // requests delay the first token by more than they gain (docs/design/load.md).
 const maxServerQueueLength = 1
 
-// peerTimeout is the time since the last message of another entry instance after
-// which the load reported by that instance no longer counts. Heartbeats arrive
-// twice a second.
-const peerTimeout = 2 * time.Second
-
 // Scheduler assigns slots at servers to requests and keeps a queue of the
 // requests that wait for a slot. It is safe for concurrent use.
 type Scheduler struct {
@@ -64,7 +62,7 @@
 
 	mu           sync.Mutex
 	servers      map[string]*serverState // by server ID
-	peers        map[string]*peerLoad    // by the ID of the other entry instance
+	peers        *peerLoads
 	agents       map[string]agentReport  // by server address
 	retryBudgets map[string]*RetryBudget // by service name
 	// waiting is the queue, ordered by priority and then by arrival.
@@ -75,6 +73,9 @@
 	choiceCount int
 	// assignedCount is the number of slots assigned to waiting requests so far.
 	assignedCount int
+	// listedInstanceCount is the number of entry instances whose addresses are known,
+	// including this one.
+	listedInstanceCount int
 }
 
 // serverState holds what this entry instance has recorded about a server.
@@ -87,15 +88,6 @@
 	stallDetector   StallDetector
 }
 
-// peerLoad is the load reported by another entry instance.
-type peerLoad struct {
-	// runningByServer is the number of that entry instance's requests at each
-	// server, by server ID.
-	runningByServer map[string]int
-	// lastMessageAt is when the last message from that entry instance arrived.
-	lastMessageAt time.Time
-}
-
 // agentReport is the latest report of an agent about its server.
 type agentReport struct {
 	state frame.AgentState
@@ -119,7 +111,7 @@
 func NewScheduler(cfg Config, holder *catalog.Holder, clock clockwork.Clock) *Scheduler {
 	return &Scheduler{
 		cfg: cfg, holder: holder, clock: clock,
-		servers: map[string]*serverState{}, peers: map[string]*peerLoad{},
+		servers: map[string]*serverState{}, peers: newPeerLoads(),
 		agents: map[string]agentReport{}, retryBudgets: map[string]*RetryBudget{},
 	}
 }
@@ -151,21 +143,19 @@
 }
 
 // knownEntryInstanceCount returns the number of entry instances that may be sending
-// requests: this one and all others that have ever sent a message, even if their
-// last message is older than peerTimeout. The caller holds s.mu.
-func (s *Scheduler) knownEntryInstanceCount() int { return len(s.peers) + 1 }
-
-// activeEntryInstanceCount returns the number of other entry instances that have
-// sent a message within peerTimeout, plus one for this entry instance. The caller
-// holds s.mu.
-func (s *Scheduler) activeEntryInstanceCount(now time.Time) int {
-	n := 1
-	for _, p := range s.peers {
-		if now.Sub(p.lastMessageAt) < peerTimeout {
-			n++
-		}
-	}
-	return n
+// requests, even if they cannot be reached at present: all whose addresses are
+// known, or all sources that have ever reported if these are more. The caller holds
+// s.mu.
+func (s *Scheduler) knownEntryInstanceCount() int {
+	return max(s.listedInstanceCount, len(s.peers.bySource)+1)
+}
+
+// SetEntryInstanceCount sets the number of entry instances whose addresses are
+// known, including this one.
+func (s *Scheduler) SetEntryInstanceCount(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listedInstanceCount = n
 }
 
 // assignInterval is the time between two attempts of Run to assign slots to
@@ -320,6 +310,7 @@
 func (s *Scheduler) candidates(req *Request) []Candidate {
 	snapshot := s.holder.Current()
 	now := s.clock.Now()
+	s.peers.expire(now)
 	service := snapshot.Config.Services[req.Service]
 	listed := snapshot.ServersOf(req.Service)
 	all := make([]Candidate, 0, len(listed))
@@ -334,18 +325,18 @@
 			continue
 		}
 		st, limit := s.stateOf(server.ID), server.Slots+maxServerQueueLength
+		remote := server.DataCentre != s.cfg.DataCentre
 		c := Candidate{
 			Slot: Slot{
-				Server: server, Version: version, RunningCount: s.totalRunning(server.ID, st, now),
-				Remote: server.DataCentre != s.cfg.DataCentre,
+				Server: server, Version: version, RunningCount: st.runningCount + s.peers.running(server.ID), Remote: remote,
 			},
 			Limit:   limit,
 			Penalty: st.health.Penalty(),
 		}
 		blocked := st.health.InBackoff(now) || st.stallDetector.Stalled(now, st.runningCount, req.FirstByteObjective) ||
-			!st.burstLimiter.Allows(now, limit-c.Slot.RunningCount, s.activeEntryInstanceCount(now))
+			!st.burstLimiter.Allows(now, limit-c.Slot.RunningCount, s.peers.activeCount(remote))
 		if service != nil && service.ColdRequestsPerSecond > 0 && server.Cold(now) {
-			blocked = blocked || !st.coldRateLimiter.Allows(now, service.ColdRequestsPerSecond, s.knownEntryInstanceCount())
+			blocked = blocked || !st.coldRateLimiter.Allows(now, service.ColdRequestsPerSecond, s.knownEntryInstanceCount(), shareRank(server.ID, s.cfg.Self))
 		}
 		if blocked {
 			c.Limit = 0
@@ -376,19 +367,6 @@
 	return version, version >= snapshot.Weights[req.Model].MinVersion(now, s.cfg.WeightsDueAfter)
 }
 
-// totalRunning returns the number of requests at the server with an ID. st holds
-// the number of those that this entry instance sent. Other entry instances count
-// only if they sent a message within peerTimeout. The caller holds s.mu.
-func (s *Scheduler) totalRunning(id string, st *serverState, now time.Time) int {
-	n := st.runningCount
-	for _, p := range s.peers {
-		if now.Sub(p.lastMessageAt) < peerTimeout {
-			n += p.runningByServer[id]
-		}
-	}
-	return n
-}
-
 // stateOf returns the state of the server with the given ID, and creates the
 // state if there is none. The caller holds s.mu.
 func (s *Scheduler) stateOf(id string) *serverState {
@@ -412,31 +390,30 @@
 	return out
 }
 
-// UpdatePeerLoads records a load report of another entry instance.
-// runningByServer holds the number of that entry instance's requests at each
-// server, by server ID, but only for servers at which the number has changed
-// since the last report.
-func (s *Scheduler) UpdatePeerLoads(peer string, runningByServer map[string]int) {
+// RunningInDataCentre returns the number of requests at each server that runs any, by
+// server ID, and the number of entry instances whose requests are counted: this one
+// and those of this data centre that have reported within peerTimeout.
+func (s *Scheduler) RunningInDataCentre() (map[string]int, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.peers[peer]
-	if !ok {
-		p = &peerLoad{runningByServer: map[string]int{}}
-		s.peers[peer] = p
-	}
-	p.lastMessageAt = s.clock.Now()
-	for id, n := range runningByServer {
-		p.runningByServer[id] = n
+	s.peers.expire(s.clock.Now())
+	out := s.peers.localRunning()
+	for id, st := range s.servers {
+		if st.runningCount > 0 {
+			out[id] += st.runningCount
+		}
 	}
-	s.assignWaiting()
+	return out, s.peers.activeCount(false)
 }
 
-// ResetPeerLoads removes the recorded load of another entry instance, which has
-// opened a new connection and will report its complete load again.
-func (s *Scheduler) ResetPeerLoads(peer string) {
+// UpdatePeerLoads records the load that a source reports: another entry instance of
+// this data centre, or another data centre.
+func (s *Scheduler) UpdatePeerLoads(source string, r exchange.LoadReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers[peer] = &peerLoad{runningByServer: map[string]int{}, lastMessageAt: s.clock.Now()}
+	if s.peers.update(source, r, s.clock.Now()) {
+		s.assignWaiting()
+	}
 }
 
 // SetAgentState records the state that an agent reports for the server at addr;
--- a/request/dispatch/scheduler_test.go
+++ b/request/dispatch/scheduler_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/rattanway/rattanway/connection/exchange"
 	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/version/catalog"
@@ -74,7 +75,7 @@
 func TestSchedulerFillsEverySlotAndNoMore(t *testing.T) {
 	Convey("Requests of another entry instance count until it has sent no message for peerTimeout", t, func() {
 		f := newSchedulerFixture()
-		f.scheduler.UpdatePeerLoads("other", map[string]int{"a": 3, "b": 3})
+		f.scheduler.UpdatePeerLoads("other", exchange.LoadReport{RunningByServer: map[string]int{"a": 3, "b": 3}})
 		_, err := f.acquire(f.request())
 		So(errors.Is(err, ErrFull), ShouldBeTrue)
 		f.clock.Advance(peerTimeout)
@@ -170,7 +171,7 @@
 		cold.Slots, cold.ColdUntil = 100, f.clock.Now().Add(time.Minute)
 		f.setServers(cold)
 		for _, peer := range []string{"x", "y", "z"} {
-			f.scheduler.ResetPeerLoads(peer)
+			f.scheduler.UpdatePeerLoads(peer, exchange.LoadReport{Complete: true})
 		}
 		// The other entry instances have sent no message for longer than
 		// peerTimeout, but the share stays the same.
@@ -185,3 +186,60 @@
 		So(acquiredCount, ShouldEqual, 2)
 	})
 }
+
+func TestPeerLoads(t *testing.T) {
+	start := time.Now()
+	report := func(complete bool, running map[string]int) exchange.LoadReport {
+		return exchange.LoadReport{RunningByServer: running, Complete: complete}
+	}
+
+	Convey("The sums follow the changes of each source, and complete reports replace earlier ones", t, func() {
+		p := newPeerLoads()
+		So(p.update("x", report(true, map[string]int{"a": 2, "b": 1}), start), ShouldBeFalse)
+		p.update("y", report(true, map[string]int{"a": 3}), start)
+		So(p.running("a"), ShouldEqual, 5)
+		So(p.update("x", report(false, map[string]int{"a": 1}), start), ShouldBeTrue)
+		So(p.running("a"), ShouldEqual, 4)
+		So(p.update("x", report(true, map[string]int{"b": 4}), start), ShouldBeTrue)
+		So(p.running("a"), ShouldEqual, 3)
+		So(p.running("b"), ShouldEqual, 4)
+	})
+	Convey("A source counts until it has sent no report for peerTimeout, and again after its next one", t, func() {
+		p := newPeerLoads()
+		p.update("x", report(true, map[string]int{"a": 2}), start)
+		p.expire(start.Add(peerTimeout - 1))
+		So(p.running("a"), ShouldEqual, 2)
+		p.expire(start.Add(peerTimeout))
+		So(p.running("a"), ShouldEqual, 0)
+		So(p.activeCount(true), ShouldEqual, 1)
+		p.update("x", report(false, map[string]int{"b": 1}), start.Add(2*peerTimeout))
+		So(p.running("a"), ShouldEqual, 2)
+		So(p.running("b"), ShouldEqual, 1)
+		So(p.activeCount(true), ShouldEqual, 2)
+	})
+	Convey("A server of the own data centre is shared by the entry instances there, another server by all", t, func() {
+		p := newPeerLoads()
+		p.update("x", report(true, nil), start)
+		p.update("data centre east", exchange.LoadReport{Complete: true, InstanceCount: 12, Remote: true}, start)
+		p.update("data centre east", exchange.LoadReport{InstanceCount: 11, Remote: true}, start)
+		So(p.activeCount(false), ShouldEqual, 2)
+		So(p.activeCount(true), ShouldEqual, 13)
+	})
+}
+
+func TestLoadOfTheDataCentre(t *testing.T) {
+	Convey("The load of the data centre has the requests of its entry instances that report, without those of other data centres", t, func() {
+		f := newSchedulerFixture()
+		_, err := f.acquire(f.request())
+		So(err, ShouldBeNil)
+		f.scheduler.UpdatePeerLoads("x", exchange.LoadReport{RunningByServer: map[string]int{"a": 1, "b": 1}})
+		f.scheduler.UpdatePeerLoads("data centre east", exchange.LoadReport{RunningByServer: map[string]int{"a": 1}, Remote: true})
+		running, count := f.scheduler.RunningInDataCentre()
+		So(running, ShouldResemble, map[string]int{"a": 2, "b": 1})
+		So(count, ShouldEqual, 2)
+		f.clock.Advance(peerTimeout)
+		running, count = f.scheduler.RunningInDataCentre()
+		So(running, ShouldResemble, map[string]int{"a": 1})
+		So(count, ShouldEqual, 1)
+	})
+}
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/rattanway/rattanway/connection/exchange"
 	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/version/catalog"
 )
@@ -268,8 +269,10 @@
 		// Server s2 counts as full until the other entry instance reports that s2 has
 		// free slots.
 		peerLoads := map[string]int{"s1": 0, "s2": 9}
-		f.scheduler.UpdatePeerLoads("other", peerLoads)
-		time.AfterFunc(300*time.Millisecond, func() { f.scheduler.UpdatePeerLoads("other", map[string]int{"s2": 0}) })
+		f.scheduler.UpdatePeerLoads("other", exchange.LoadReport{RunningByServer: peerLoads})
+		time.AfterFunc(300*time.Millisecond, func() {
+			f.scheduler.UpdatePeerLoads("other", exchange.LoadReport{RunningByServer: map[string]int{"s2": 0}})
+		})
 		r := f.send(t, http.MethodPost, "/resumable/", "prompt")
 		So(r.err, ShouldBeNil)
 		So(r.body, ShouldEqual, event(1)+event(2))
