An agent does not start a request that was given up while it was paused

Cause: an agent that wakes reads the requests that arrived while it was frozen. Each connection has one goroutine that reads frames and one that handles them. The close of the connection stands right behind the request, but the handler could start the request before the reader saw the close (TestAgentProcess, once: 2043 calls started where 2042 were due).

Ruled out: the confirmation of the configuration after a pause, which refuses such requests only until a peer has confirmed it; raw reads of the socket to look for the close, which wait for the reader (the first form of dial.Peek did: the test of the package hung).

Change: before a request is handled, the agent looks whether its connection is closed already (dial.Peek, shared with the idle connections to servers).

--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -136,22 +135,8 @@
 	if c.reader.Buffered() > 0 {
 		return true
 	}
-	sysConn, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := sysConn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	unexpected := true
-	err = rawConn.Read(func(fd uintptr) bool {
-		var peeked [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unexpected = n > 0 || err == nil || !errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return unexpected || err != nil
+	pending, closed := dial.Peek(c.netConn)
+	return pending || closed
 }
 
 // allowedIdleTime returns how long the connection may stay idle after resp, at
--- a/connection/frame/conn.go
+++ b/connection/frame/conn.go
@@ -161,6 +161,13 @@
 	return core.WrapStep("receive frame", c.peer, f.Decode(msg))
 }
 
+// PeerClosed reports whether the peer has closed the connection and all its frames
+// have been received.
+func (c *Conn) PeerClosed() bool {
+	_, closed := dial.Peek(c.ws.NetConn())
+	return closed
+}
+
 // Close closes the connection immediately, without a WebSocket close handshake.
 func (c *Conn) Close() error { return c.ws.Close() }
 
--- a/connection/work/server.go
+++ b/connection/work/server.go
@@ -19,6 +19,8 @@
 		"An agent could not accept a work connection from an entry instance.")
 	eventConnectionBroken = eventlog.Define(121, "work-connection-broken", logrus.WarnLevel,
 		"An agent closed a work connection because it failed to handle a request on it.")
+	eventRequestGivenUp = eventlog.Define(122, "work-request-given-up", logrus.InfoLevel,
+		"An agent received a request that the entry instance had already given up; the request was not started.")
 )
 
 // Server accepts work connections at an agent and passes each request on a
@@ -99,6 +101,12 @@
 		if err != nil {
 			return
 		}
+		if conn.PeerClosed() {
+			// The entry instance gave the request up, for example while this process
+			// was paused. Starting the request would waste a slot.
+			s.log.Event(eventRequestGivenUp, eventlog.Fields{"peer": conn.Peer()})
+			return
+		}
 		if err := s.handler.Handle(ctx, first, x); err != nil {
 			s.log.EventWithError(eventConnectionBroken, err, eventlog.Fields{"peer": conn.Peer()})
 			return
