--- a/request/forward/body.go
+++ b/request/forward/body.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	// bodyPartBytes is the size of the first part of a response body, and of each
-	// further part.
-	bodyPartBytes = 32 << 10
+	// firstPartBytes is the size of the first part of a response body; the responses
+	// of the services are about 1 KB. bodyPartBytes is the size of each further part.
+	firstPartBytes = 4 << 10
+	bodyPartBytes  = 32 << 10
 	// bodyBudgetBytes is the budget for what all response bodies in memory together
 	// have beyond their first parts. It also limits the size of one body that is read
-	// completely before it is forwarded; the responses of the services are about 1 KB.
+	// completely before it is forwarded.
 	bodyBudgetBytes = 4 << 20
 )
 
@@ -26,7 +27,7 @@
 	mu sync.Mutex
 	// inUse is the number of parts that take has returned and give has not got back.
 	inUse  int
-	unused [][]byte
+	unused sync.Pool
 }
 
 // take returns an empty part, or nil if the budget is used up.
@@ -37,26 +38,19 @@
 		return nil
 	}
 	p.inUse++
-	if n := len(p.unused); n > 0 {
-		part := p.unused[n-1]
-		p.unused = p.unused[:n-1]
-		return part
+	if part, ok := p.unused.Get().(*[bodyPartBytes]byte); ok {
+		return part[:0]
 	}
 	return make([]byte, 0, bodyPartBytes)
 }
 
-// give takes parts back. They are used again while large bodies are in memory, and
-// then left to the garbage collector.
+// give takes parts back.
 func (p *bodyParts) give(parts [][]byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inUse -= len(parts)
-	if p.inUse == 0 {
-		p.unused = nil
-		return
-	}
 	for _, part := range parts {
-		p.unused = append(p.unused, part[:0])
+		p.unused.Put((*[bodyPartBytes]byte)(part[:bodyPartBytes]))
 	}
 }
 
@@ -94,7 +88,7 @@
 // call until releaseBodies.
 func (c *call) readResponse(resp *http.Response) (*response, error) {
 	var first bytes.Buffer
-	_, err := io.CopyN(&first, resp.Body, bodyPartBytes)
+	_, err := io.CopyN(&first, resp.Body, firstPartBytes)
 	complete := &response{status: resp.StatusCode, header: resp.Header, first: first.Bytes()}
 	for err == nil {
 		part := c.bodyParts.take()
