--- a/request/forward/gone_test.go
+++ b/request/forward/gone_test.go
@@ -52,6 +52,9 @@
 			}()
 			conn := <-accepted
 			defer func() { _ = conn.Close() }()
+			// Part of the request has been sent.
+			_, err = io.ReadFull(conn, make([]byte, 1024))
+			So(err, ShouldBeNil)
 			leave()
 			<-left
 			So(wait.Until(func() bool { return f.handler.ActiveCount() == 0 }), ShouldBeTrue)
