Changes of tables stay in the data centre

Cause: every entry instance sent the changes that it read from the store to all its peers, in a mesh also to those of other data centres, which do not use them.

Ruled out: whole tables requested from peers; the lag of a follower that relies on a peer leads to a read of the store instead.

Change: changes go only to peers of the same data centre, and only if there are enough of them to share reads.

TestChangesStayInTheDataCentre fails without it (a change in all five queues).

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -125,9 +125,9 @@
 	// peerReads holds what the entry instances of this data centre read from the
 	// store, by the ID of the entry instance.
 	peerReads map[string]peerRead
-	// changeQueues are the queues of the connections on which changes of tables are
-	// sent.
-	changeQueues map[chan frame.TableChanges]bool
+	// changeQueues are the queues of the connections on which changes of tables may be
+	// sent, with the address of the peer.
+	changeQueues map[chan frame.TableChanges]string
 }
 
 // New returns an Exchange without connections; Run opens them.
@@ -135,7 +135,7 @@
 	return &Exchange{
 		cfg: cfg, known: map[string]string{}, knownChanged: make(chan struct{}), followed: map[string]bool{},
 		lastRequested: map[catalog.Table]time.Time{}, peerReads: map[string]peerRead{},
-		changeQueues: map[chan frame.TableChanges]bool{},
+		changeQueues: map[chan frame.TableChanges]string{},
 	}
 }
 
@@ -250,7 +250,7 @@
 		return err
 	}
 	x.cfg.Log.Event(eventPeerConnected, eventlog.Fields{"peer": addr})
-	return x.newSender(conn, false).run(ctx)
+	return x.newSender(conn, addr).run(ctx)
 }
 
 // followDataCentre receives the load and the agents of a data centre from one of its
@@ -338,7 +338,7 @@
 	switch {
 	case err != nil:
 	case hello.Subscribes:
-		err = x.newSender(conn, true).run(context.Background())
+		err = x.newSender(conn, "").run(context.Background())
 	default:
 		err = (&receiver{x: x, conn: conn, source: peer.ID, dataCentre: peer.DataCentre}).run()
 		x.forgetReads(peer.ID)
--- a/connection/exchange/plan_test.go
+++ b/connection/exchange/plan_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/core"
 	"github.com/rattanway/rattanway/version/catalog"
 )
@@ -126,3 +127,32 @@
 		So(readers(all), ShouldHaveLength, 3)
 	})
 }
+
+func TestChangesStayInTheDataCentre(t *testing.T) {
+	// queues returns an Exchange in data centre "a" with connections to peers in the
+	// given data centres, and the queues of these connections.
+	queues := func(dataCentres ...string) (*Exchange, []chan frame.TableChanges) {
+		x := New(Config{Self: core.Instance{ID: "self", Addr: "self", DataCentre: "a"}, LoadTracker: &fakeLoadTracker{}})
+		var all []chan frame.TableChanges
+		for i, dc := range dataCentres {
+			addr := fmt.Sprint(dc, i)
+			x.AddPeer(addr, dc)
+			all = append(all, x.addChangeQueue(addr))
+		}
+		return x, all
+	}
+	Convey("Changes go to the others of the data centre, not over the links between regions", t, func() {
+		x, all := queues("a", "a", "a", "b", "c")
+		x.SendChanges(catalog.TableServers, catalog.RowChanges{Until: 1})
+		for i, queue := range all {
+			So(len(queue) == 1, ShouldEqual, i < 3)
+		}
+	})
+	Convey("In a data centre with few entry instances all read the store, and nothing is sent", t, func() {
+		x, all := queues("a", "a", "b", "b", "c")
+		x.SendChanges(catalog.TableServers, catalog.RowChanges{Until: 1})
+		for _, queue := range all {
+			So(len(queue), ShouldEqual, 0)
+		}
+	})
+}
--- a/connection/exchange/readers.go
+++ b/connection/exchange/readers.go
@@ -89,12 +89,19 @@
 	return found && reporting >= minSharedReadInstances
 }
 
-// SendChanges sends changes that this entry instance has read from the store to its
-// peers. A peer whose queue is full misses them and reads the store itself.
+// SendChanges sends changes that this entry instance has read from the store to the
+// others of its data centre, if they are enough to share their reads. A peer whose
+// queue is full misses them and reads the store itself.
 func (x *Exchange) SendChanges(t catalog.Table, c catalog.RowChanges) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for queue := range x.changeQueues {
+	if !x.sharesReads() {
+		return
+	}
+	for queue, addr := range x.changeQueues {
+		if x.known[addr] != x.cfg.Self.DataCentre {
+			continue
+		}
 		select {
 		case queue <- frame.TableChanges{Table: t, Changes: c}:
 		default:
@@ -102,12 +109,25 @@
 	}
 }
 
-// addChangeQueue returns a new queue that receives the changes of SendChanges.
-func (x *Exchange) addChangeQueue() chan frame.TableChanges {
+// sharesReads reports whether there are enough entry instances in this data centre to
+// share their reads. x.mu must be held.
+func (x *Exchange) sharesReads() bool {
+	count := 1
+	for _, dataCentre := range x.known {
+		if dataCentre == x.cfg.Self.DataCentre {
+			count++
+		}
+	}
+	return count >= minSharedReadInstances
+}
+
+// addChangeQueue returns a new queue for the peer at addr that receives the changes of
+// SendChanges.
+func (x *Exchange) addChangeQueue(addr string) chan frame.TableChanges {
 	queue := make(chan frame.TableChanges, changeQueueLength)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.changeQueues[queue] = true
+	x.changeQueues[queue] = addr
 	return queue
 }
 
--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -30,8 +30,8 @@
 type sender struct {
 	x    *Exchange
 	conn *frame.Conn
-	// relays is true if the reports are about the whole data centre.
-	relays bool
+	// peerAddr is the address of the peer; empty if the reports go to a follower.
+	peerAddr string
 	// sentRunning, sentAgents and sentEntryCount are what the receiver already has:
 	// the counts, the agents by server address, and the length of x.learned.
 	sentRunning    map[string]int
@@ -41,20 +41,20 @@
 	lastHeartbeat time.Time
 }
 
-func (x *Exchange) newSender(conn *frame.Conn, relays bool) *sender {
-	return &sender{x: x, conn: conn, relays: relays, sentRunning: map[string]int{}, sentAgents: map[string]frame.RelayedAgent{}}
+func (x *Exchange) newSender(conn *frame.Conn, peerAddr string) *sender {
+	return &sender{x: x, conn: conn, peerAddr: peerAddr, sentRunning: map[string]int{}, sentAgents: map[string]frame.RelayedAgent{}}
 }
 
 // run sends reports, and the tables that the receiver requests, until ctx or the
-// connection ends. To a peer it also sends the changes that this entry instance reads
-// from the store.
+// connection ends. To a peer of its data centre it also sends the changes that this
+// entry instance reads from the store.
 func (s *sender) run(ctx context.Context) error {
 	interval := sendInterval
 	var changes chan frame.TableChanges
-	if s.relays {
+	if s.peerAddr == "" {
 		interval = relayInterval
 	} else {
-		changes = s.x.addChangeQueue()
+		changes = s.x.addChangeQueue(s.peerAddr)
 		defer s.x.removeChangeQueue(changes)
 	}
 	requestsEnded := make(chan error, 1)
@@ -90,7 +90,7 @@
 		Complete: s.lastHeartbeat.IsZero(), Entries: x.learnedSince(s.sentEntryCount),
 	}
 	running := map[string]int(nil)
-	if s.relays {
+	if s.peerAddr == "" {
 		running, update.InstanceCount = x.cfg.LoadTracker.RunningInDataCentre()
 		update.Agents, update.GoneAgents = s.changedAgents(x.cfg.Agents.LocalAgents())
 	} else {
