--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -186,8 +186,8 @@
 func (x *Exchange) Run(ctx context.Context) error {
 	var connections sync.WaitGroup
 	defer connections.Wait()
-	// cancels holds a function that ends the work for each address of plan.peers and
-	// each data centre of plan.followed.
+	// peerCancels and followCancels hold a function that ends the work for each address
+	// of plan.peers and for each data centre of plan.followed.
 	peerCancels, followCancels := map[string]context.CancelFunc{}, map[string]context.CancelFunc{}
 	for {
 		plan, changed := x.plan()
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -280,13 +280,13 @@
 	// is short, many requests with the same requirements wait.
 	unassignable := map[requirements]bool{}
 	for _, w := range OrderWaiting(s.waiting, s.assignedCount) {
-		needs, comparable := w.request.requirements()
-		if comparable && unassignable[needs] {
+		needs, shared := w.request.requirements()
+		if shared && unassignable[needs] {
 			continue
 		}
 		slot, err := s.assign(w.request)
 		if err != nil {
-			unassignable[needs] = unassignable[needs] || comparable
+			unassignable[needs] = unassignable[needs] || shared
 			continue
 		}
 		s.waiting = slices.DeleteFunc(s.waiting, func(other *waiter) bool { return other == w })
--- a/request/forward/endless_test.go
+++ b/request/forward/endless_test.go
@@ -16,8 +16,8 @@
 	"github.com/rattanway/rattanway/version/catalog"
 )
 
-// endlessServer is a backend server that begins each response with the text that
-// begin returns and then sends filler until the caller closes the connection.
+// newEndlessServer starts a backend server that begins each response with the text
+// that begin returns and then sends filler until the caller closes the connection.
 func newEndlessServer(t *testing.T, id string, begin func(receivedRequest) string, filler string) *fakeServer {
 	t.Helper()
 	block := strings.Repeat(filler, 1+(16<<10)/len(filler))
