Logs show which prompt parts were at a server that ended

Event 544 gets the shared parts and the time since the server's first event. When a response breaks off, one connection attempt checks whether the server still accepts connections; if it refuses, event 545 names the parts of the requests that may be the cause. One check covers all requests at a server. Ruled out: taking each broken connection for an ended server, because servers also cut off single responses (TestServerThatEnds).

--- a/connection/backend/pool.go
+++ b/connection/backend/pool.go
@@ -5,8 +5,10 @@
 	"context"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/rattanway/rattanway/core"
@@ -59,6 +61,17 @@
 	}, nil
 }
 
+// Refuses opens a connection to addr and closes it again. It reports whether the
+// machine refused the connection, because no process listens at addr.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	conn, err := dial.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // takeIdle removes the most recently used idle connection to addr and returns it,
 // or nil if there is none. It closes the expired connections that it finds.
 func (p *Pool) takeIdle(addr string) *Conn {
--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -37,6 +37,9 @@
 	// separated by a comma. AnswerTokens is the number of answer tokens that the
 	// client expects.
 	Tokens, AnswerTokens string
+	// PromptParts lists the parts of the prompt in order, separated by commas: the ID
+	// of the part, a colon and its number of tokens.
+	PromptParts string
 	// LastEventID is the ID of the last event of the stream that the sender of the
 	// request already has.
 	LastEventID string
--- /dev/null
+++ b/request/forward/endcheck.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rattanway/rattanway/process/eventlog"
+	"github.com/rattanway/rattanway/request/dispatch"
+	"github.com/rattanway/rattanway/version/catalog"
+)
+
+const (
+	// endCheckDelay is the time between the first connection to a server that breaks
+	// and the check whether the server has ended. The other connections break within
+	// this time, so that one check covers all of them.
+	endCheckDelay = 20 * time.Millisecond
+	// endCheckTimeout limits the time for the check.
+	endCheckTimeout = time.Second
+	// maxPartsAtRisk limits the number of prompt parts that are recorded for one end
+	// of a server.
+	maxPartsAtRisk = 256
+)
+
+// endChecks finds out whether a server has ended when connections to it break. A
+// connection alone does not show that: it also breaks when the network fails or when
+// the server cuts off one response.
+type endChecks struct {
+	mu sync.Mutex
+	// partsAtRisk holds, by the boot of each server that is being checked, the prompt
+	// parts of the requests whose connections broke.
+	partsAtRisk map[string][]string
+}
+
+// checkEnd starts a check whether a server has ended, unless one is in progress, and
+// adds the prompt parts of a request whose connection to the server broke.
+func (h *Handler) checkEnd(server *catalog.Server, parts []string) {
+	h.endChecks.mu.Lock()
+	defer h.endChecks.mu.Unlock()
+	known, inProgress := h.endChecks.partsAtRisk[server.Boot()]
+	for _, part := range parts {
+		if len(known) < maxPartsAtRisk && !slices.Contains(known, part) {
+			known = append(known, part)
+		}
+	}
+	h.endChecks.partsAtRisk[server.Boot()] = known
+	if !inProgress {
+		brokenAt := h.cfg.Clock.Now()
+		time.AfterFunc(endCheckDelay, func() { h.finishEndCheck(server, brokenAt) })
+	}
+}
+
+// finishEndCheck connects to a server. The server has ended if it refuses the
+// connection.
+func (h *Handler) finishEndCheck(server *catalog.Server, brokenAt time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	ended := h.cfg.Pool.Refuses(ctx, server.Addr)
+	h.endChecks.mu.Lock()
+	parts := h.endChecks.partsAtRisk[server.Boot()]
+	delete(h.endChecks.partsAtRisk, server.Boot())
+	h.endChecks.mu.Unlock()
+	if !ended {
+		return
+	}
+	h.stats.serversEnded.Inc(1)
+	h.cfg.Log.Event(eventServerEnded, eventlog.Fields{
+		"server": server.ID, "addr": server.Addr, "parts": clipParts(parts), "partCount": len(parts),
+		"ageMs": h.cfg.Clock.Now().Sub(brokenAt).Milliseconds(),
+	})
+}
+
+// minSurvival is how long a server must go on after its first event for the request
+// to be no possible cause of the server's end.
+const minSurvival = 500 * time.Millisecond
+
+// recordEffect starts a check of the server after an attempt whose response broke
+// off, if the request is a possible cause of the server's end.
+func (c *call) recordEffect(server *catalog.Server, r *attemptResult) {
+	survived := !r.begunAt.IsZero() && c.cfg.Clock.Now().Sub(r.begunAt) >= minSurvival
+	if r.outcome == dispatch.Broken && r.err != nil && !survived && len(c.dispatchReq.PromptParts) > 0 {
+		c.checkEnd(server, c.dispatchReq.PromptParts)
+	}
+}
+
+// maxLoggedParts limits the number of prompt parts in one log line.
+const maxLoggedParts = 16
+
+// clipParts returns the parts that one log line contains.
+func clipParts(parts []string) []string { return parts[:min(len(parts), maxLoggedParts)] }
--- /dev/null
+++ b/request/forward/endcheck_test.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/rattanway/rattanway/test/wait"
+)
+
+func TestSharedPromptParts(t *testing.T) {
+	Convey("The last part and parts without a usable ID are left out", t, func() {
+		So(sharedPromptParts("m", "5c1e:800,91bd:410,e440:250"), ShouldResemble, []string{"m/5c1e", "m/91bd"})
+		So(sharedPromptParts("m", " 5c1e:800 ,:410,"+strings.Repeat("f", maxPartIDBytes+1)+":1,e440:250"), ShouldResemble, []string{"m/5c1e"})
+		So(sharedPromptParts("m", "e440:250"), ShouldBeEmpty)
+		So(sharedPromptParts("m", ""), ShouldBeEmpty)
+	})
+	Convey("The number of parts is limited", t, func() {
+		So(sharedPromptParts("m", strings.Repeat("a:1,", 10*maxPromptParts)), ShouldHaveLength, maxPromptParts)
+	})
+}
+
+// TestServerThatEnds guards against taking a connection that broke for a server that
+// ended, and the reverse.
+func TestServerThatEnds(t *testing.T) {
+	prompt := []string{"X-Parts", "aa:1,bb:2,cc:3"}
+	Convey("Given a server that breaks off a stream", t, func() {
+		ends := false
+		var s *fakeServer
+		s = newServer(t, "s", func(r receivedRequest, _ int) string {
+			if ends {
+				_ = s.listener.Close()
+			}
+			return streamHeader(r) + chunk(event(1)) + closeMarker
+		})
+		f := newFixture(t, nil, s)
+
+		Convey("a server that still accepts connections has not ended", func() {
+			f.send(t, http.MethodPost, "/resumable/", "", prompt...)
+			So(wait.Until(func() bool { return len(f.handler.endChecksInProgress()) == 0 }), ShouldBeTrue)
+			So(f.handler.stats.serversEnded.Count(), ShouldEqual, 0)
+		})
+		Convey("a server that refuses connections has ended", func() {
+			ends = true
+			f.send(t, http.MethodPost, "/resumable/", "", prompt...)
+			So(wait.Until(func() bool { return f.handler.stats.serversEnded.Count() == 1 }), ShouldBeTrue)
+		})
+		Convey("a request without shared parts causes no check", func() {
+			ends = true
+			f.send(t, http.MethodPost, "/resumable/", "")
+			So(f.handler.endChecksInProgress(), ShouldBeEmpty)
+		})
+	})
+}
+
+// endChecksInProgress returns the boots of the servers that are being checked.
+func (h *Handler) endChecksInProgress() []string {
+	h.endChecks.mu.Lock()
+	defer h.endChecks.mu.Unlock()
+	var boots []string
+	for boot := range h.endChecks.partsAtRisk {
+		boots = append(boots, boot)
+	}
+	return boots
+}
--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -16,5 +16,7 @@
 	eventClientLeft = eventlog.Define(543, "request-left", logrus.InfoLevel,
 		"The client closed the connection before its response was complete.")
 	eventAttemptFailed = eventlog.Define(544, "request-sending-failed", logrus.InfoLevel,
-		"An attempt to run a request at a server failed, or the stream of the response continues at another server; the fields give the cause and whether the request is sent again.")
+		"An attempt to run a request at a server failed, or the stream of the response continues at another server; the fields give the cause and whether the request is sent again, the shared parts of the prompt, and how long before the server had sent its first event (-1: it had sent none).")
+	eventServerEnded = eventlog.Define(545, "server-ended", logrus.WarnLevel,
+		"A server ended while it ran requests: connections to it broke and a new one is refused; the fields give the shared parts of the prompts of the requests that had just begun there or had not begun.")
 )
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -26,6 +26,7 @@
 	stats       stats
 	// bodyParts limits the memory for response bodies that are read completely.
 	bodyParts bodyParts
+	endChecks endChecks
 }
 
 // stats holds the metrics of a [Handler].
@@ -33,6 +34,9 @@
 	// answered, refused, failed and clientLeft count the requests by how they ended.
 	// attempts counts the attempts at servers.
 	answered, refused, failed, clientLeft, attempts metrics.Counter
+	// serversEnded counts the servers that were found to have ended while they ran
+	// requests.
+	serversEnded metrics.Counter
 	// firstByte measures the time from the arrival of a request to the first byte of
 	// the response, and lastByte the time to the last byte. Only requests with a
 	// complete response are measured.
@@ -45,10 +49,11 @@
 	timer := func(name string) metrics.Timer {
 		return metrics.GetOrRegisterTimer("requests."+name+".nanoseconds", cfg.Metrics)
 	}
-	return &Handler{cfg: cfg, stats: stats{
+	return &Handler{cfg: cfg, endChecks: endChecks{partsAtRisk: map[string][]string{}}, stats: stats{
 		answered: count("answered"), refused: count("refused"), failed: count("failed"),
 		clientLeft: count("left"), attempts: count("sent"),
-		firstByte: timer("first-byte"), lastByte: timer("whole"),
+		serversEnded: metrics.GetOrRegisterCounter("servers.ended", cfg.Metrics),
+		firstByte:    timer("first-byte"), lastByte: timer("whole"),
 	}}
 }
 
@@ -198,6 +203,7 @@
 	req.RouteRegions = c.route.Regions
 	req.Priority = c.route.Priority
 	req.Work = c.estimateWork()
+	req.PromptParts = sharedPromptParts(req.Model, c.httpReq.Header.Get(c.cfg.Headers.PromptParts))
 	req.FirstByteObjective = c.route.FirstByteObjective
 	if c.account != nil {
 		req.AccountRegions = c.account.Regions
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -23,6 +23,7 @@
 		}
 		result := c.makeAttempt(ctx, slot)
 		c.cfg.Scheduler.Release(slot, result.outcome)
+		c.recordEffect(slot.Server, &result)
 		if result.outcome == dispatch.Served {
 			c.recordAnswered(slot)
 			return
@@ -83,7 +84,12 @@
 	if r.err != nil {
 		cause = r.err.Error()
 	}
+	begunMs := int64(-1)
+	if !r.begunAt.IsZero() {
+		begunMs = c.cfg.Clock.Now().Sub(r.begunAt).Milliseconds()
+	}
 	c.logEvent(eventAttemptFailed, eventlog.Fields{
+		"parts": clipParts(c.dispatchReq.PromptParts), "begunMs": begunMs,
 		"server": slot.Server.ID, "addr": slot.Server.Addr, "outcome": r.outcome.String(), "mayHaveRun": r.mayHaveRun,
 		"cause": cause, "status": r.status, "follows": follows, "version": slot.Version, "running": slot.RunningCount,
 	})
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -29,6 +29,9 @@
 	// retryCounted is true if the next attempt, if any, is already counted in the
 	// retry budget.
 	retryCounted bool
+	// begunAt is when the server sent its first event with data, or the header of a
+	// response that is no stream; zero if it sent neither.
+	begunAt time.Time
 }
 
 // Reasons for which a response is not forwarded, or not completely.
@@ -133,6 +136,7 @@
 	if c.isEventStream(resp) {
 		return c.forwardStream(ctx, resp, slot, watch)
 	}
+	r.begunAt = c.cfg.Clock.Now()
 	complete, err := c.readResponse(resp)
 	if err != nil {
 		r.err = err
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -65,6 +65,9 @@
 		if hasData(event) {
 			// A server that sends only comments is stalled.
 			bytesWithoutData = 0
+			if r.begunAt.IsZero() {
+				r.begunAt = c.cfg.Clock.Now()
+			}
 			watch.recordActivity()
 			c.cfg.Scheduler.RecordActivity(slot)
 		}
--- a/version/catalog/types.go
+++ b/version/catalog/types.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Kind is the kind of a route. The kind determines whether a request of the route
 // may run more than once.
@@ -193,6 +196,10 @@
 	LoadedVersions map[string]int
 }
 
+// Boot identifies one start of the server. An ID alone does not: a server may start
+// again under the ID that it had.
+func (s *Server) Boot() string { return s.ID + "@" + strconv.FormatInt(s.StartUnixMs, 36) }
+
 // Weights is a declared version of a model's weights.
 type Weights struct {
 	// Model is the model's name.
