--- a/connection/backend/conn.go
+++ b/connection/backend/conn.go
@@ -139,11 +139,16 @@
 	return pending || closed
 }
 
+// EndsWithConn reports whether a response has no length, so that only the end of the
+// connection ends it.
+func EndsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // allowedIdleTime returns how long the connection may stay idle after resp, at
 // most maxTime. If the result is zero or negative, the connection must be closed.
 func allowedIdleTime(resp *http.Response, maxTime time.Duration) time.Duration {
-	endsAtClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if resp.Close || endsAtClose {
+	if resp.Close || EndsWithConn(resp) {
 		return 0
 	}
 	for _, part := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -38,6 +38,8 @@
 		"This entry instance receives the load and the agents of another data centre from an entry instance there.")
 	eventFollowingEnded = eventlog.Define(154, "exchange-follow-gone", logrus.InfoLevel,
 		"The connection through which this entry instance followed another data centre failed or ended; it follows through another entry instance there.")
+	eventSuspectsRejected = eventlog.Define(155, "exchange-suspects-rejected", logrus.WarnLevel,
+		"A report of another entry instance about prompt parts under which servers ended has invalid entries, which are not used.")
 )
 
 // LoadReport is the load of one entry instance or of a whole data centre.
@@ -69,6 +71,27 @@
 	SetEntryInstanceCount(n int)
 }
 
+// SuspectTracker holds the prompt parts under which servers have ended.
+type SuspectTracker interface {
+	// SuspectParts returns the parts that have changed since the change with number
+	// since in the given scope, and the number of the last change.
+	SuspectParts(since uint64, s SuspectScope) ([]frame.SuspectPart, uint64)
+	// MergeSuspectParts adds the parts of a report from this data centre (near) or from
+	// another one. The error names what is invalid in the report; the valid parts are
+	// added nevertheless.
+	MergeSuspectParts(parts []frame.SuspectPart, near bool) error
+}
+
+// SuspectScope selects changes of suspect parts by where they were observed.
+type SuspectScope int
+
+// The values of SuspectScope.
+const (
+	SuspectsEverywhere SuspectScope = iota // observed anywhere
+	SuspectsNear                           // observed in this data centre
+	SuspectsHere                           // observed by this entry instance
+)
+
 // AgentDirectory holds the agents of all data centres.
 type AgentDirectory interface {
 	// LocalAgents returns the connected agents of this data centre by server address.
@@ -97,6 +120,8 @@
 	LoadTracker LoadTracker
 	// Agents provides and receives the agents.
 	Agents AgentDirectory
+	// Suspects provides and receives the suspect prompt parts.
+	Suspects SuspectTracker
 	// Log receives the events of connections and table requests.
 	Log *eventlog.Logger
 	// Clock is the time source.
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -62,6 +62,76 @@
 	knownCount int
 }
 
+// fakeSuspects is a SuspectTracker. It provides the part that the test sets and stores
+// the parts that other instances report.
+type fakeSuspects struct {
+	mu sync.Mutex
+	// changes holds the number of the last change of each part by scope.
+	changes     map[string]map[SuspectScope]uint64
+	changeCount uint64
+	// mergedCount is the number of parts in all reports.
+	mergedCount int
+}
+
+// observe adds a part that was observed in the given scopes, unless it is known.
+func (f *fakeSuspects) observe(id string, scopes ...SuspectScope) {
+	if f.changes[id] != nil {
+		return
+	}
+	f.changeCount++
+	f.changes[id] = map[SuspectScope]uint64{}
+	for _, s := range scopes {
+		f.changes[id][s] = f.changeCount
+	}
+}
+
+// observeHere adds a part that this instance has observed.
+func (f *fakeSuspects) observeHere(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observe(id, SuspectsHere, SuspectsNear, SuspectsEverywhere)
+}
+
+func (f *fakeSuspects) SuspectParts(since uint64, scope SuspectScope) ([]frame.SuspectPart, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var parts []frame.SuspectPart
+	for id, last := range f.changes {
+		if last[scope] > since {
+			parts = append(parts, frame.SuspectPart{ID: id})
+		}
+	}
+	return parts, f.changeCount
+}
+
+func (f *fakeSuspects) MergeSuspectParts(parts []frame.SuspectPart, near bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range parts {
+		f.mergedCount++
+		if near {
+			f.observe(p.ID, SuspectsNear, SuspectsEverywhere)
+		} else {
+			f.observe(p.ID, SuspectsEverywhere)
+		}
+	}
+	return nil
+}
+
+// merged returns the number of parts in all reports so far.
+func (f *fakeSuspects) merged() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mergedCount
+}
+
+// knows reports whether the instance has observed or received a part.
+func (f *fakeSuspects) knows(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changes[id] != nil
+}
+
 // fakeAgents is an AgentDirectory. It provides the agents set by the test and stores
 // those of other data centres by server address.
 type fakeAgents struct {
@@ -171,6 +241,7 @@
 	declaredFollower, serversFollower *catalog.Follower
 	loadTracker                       *fakeLoadTracker
 	agents                            *fakeAgents
+	suspects                          *fakeSuspects
 	// stop ends the instance and closes its connections.
 	stop func()
 }
@@ -212,6 +283,7 @@
 	if !inDataCentre {
 		dataCentre = ""
 	}
+	i.suspects = &fakeSuspects{changes: map[string]map[SuspectScope]uint64{}}
 	i.declaredFollower = catalog.NewFollower(catalog.TableDeclared, unavailableStore{}, i.holder, log, clock)
 	i.serversFollower = catalog.NewFollower(catalog.TableServers, unavailableStore{}, i.holder, log, clock)
 	var handler http.Handler
@@ -220,7 +292,7 @@
 	server.Listener = accepted
 	server.Start()
 	i.Exchange = New(Config{
-		Self: core.Instance{ID: name, Role: core.RoleEntry, Addr: server.Listener.Addr().String(), DataCentre: dataCentre}, Token: token, Agents: i.agents,
+		Self: core.Instance{ID: name, Role: core.RoleEntry, Addr: server.Listener.Addr().String(), DataCentre: dataCentre}, Token: token, Agents: i.agents, Suspects: i.suspects,
 		Holder: i.holder, DeclaredFollower: i.declaredFollower, ServersFollower: i.serversFollower, LoadTracker: i.loadTracker, Log: log, Clock: clock,
 	})
 	handler = httpserver.RequirePeerToken(token, i.Exchange)
--- a/connection/exchange/follow_test.go
+++ b/connection/exchange/follow_test.go
@@ -79,6 +79,19 @@
 			So(wait.Until(func() bool { return b[0].loadTracker.receivedCount("s9") > 0 }), ShouldBeTrue)
 		})
 
+		Convey("a suspect prompt part reaches each of them, also one that starts later, in a bounded number of reports", func() {
+			a[1].suspects.observeHere("part")
+			So(wait.Until(func() bool {
+				return allMeet(all, func(i *testInstance) bool { return i.suspects.knows("part") })
+			}), ShouldBeTrue)
+			for _, i := range all {
+				So(i.suspects.merged(), ShouldBeLessThanOrEqualTo, 2)
+			}
+			late := newTestInstance(t, "b.late")
+			late.AddPeer(b[0].cfg.Self.Addr, "")
+			So(wait.Until(func() bool { return late.suspects.knows("part") }), ShouldBeTrue)
+		})
+
 		Convey("changes that one reads from the store reach the others of its data centre, and a table those of the other", func() {
 			for _, i := range all {
 				i.serversFollower.AdoptIfNewer(catalog.TableContent{
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -115,6 +115,9 @@
 		x.recordReads(r.source, update.ReadAgesMs)
 	}
 	x.applyAges(update.DeclaredVersions)
+	if err := x.cfg.Suspects.MergeSuspectParts(update.SuspectParts, r.dataCentre == x.cfg.Self.DataCentre); err != nil {
+		x.cfg.Log.EventWithError(eventSuspectsRejected, err, eventlog.Fields{"peer": r.source})
+	}
 	return x.requestTables(r.conn, r.source, update, lags)
 }
 
--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -37,6 +37,9 @@
 	sentRunning    map[string]int
 	sentAgents     map[string]frame.RelayedAgent
 	sentEntryCount int
+	// sentSuspects is the number of the last change of suspect prompt parts that the
+	// receiver has.
+	sentSuspects uint64
 	// lastHeartbeat is the time of the last heartbeat; zero before the first report.
 	lastHeartbeat time.Time
 }
@@ -89,6 +92,8 @@
 		DeclaredRevision: x.cfg.DeclaredFollower.ChangeRevision(), ServersRevision: x.cfg.ServersFollower.ChangeRevision(),
 		Complete: s.lastHeartbeat.IsZero(), Entries: x.learnedSince(s.sentEntryCount),
 	}
+	var sentSuspects uint64
+	update.SuspectParts, sentSuspects = x.cfg.Suspects.SuspectParts(s.sentSuspects, s.suspectScope(update.Complete))
 	running := map[string]int(nil)
 	if s.peerAddr == "" {
 		running, update.InstanceCount = x.cfg.LoadTracker.RunningInDataCentre()
@@ -100,13 +105,28 @@
 	if heartbeatDue := now.Sub(s.lastHeartbeat) >= heartbeatInterval; heartbeatDue {
 		update.DeclaredVersions, update.ReadAgesMs = x.recentVersions(now), x.readAges(now)
 		s.lastHeartbeat = now
-	} else if len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents) == 0 {
+	} else if len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents)+len(update.SuspectParts) == 0 {
 		return nil
 	}
 	s.sentEntryCount += len(update.Entries)
+	s.sentSuspects = sentSuspects
 	return s.conn.Send(frame.KindLoadUpdate, update)
 }
 
+// suspectScope returns which changes of suspect prompt parts the receiver does not get
+// from others: those of this entry instance, or those of its data centre if the
+// receiver follows the data centre. A new connection gets all, because the receiver
+// may have just started.
+func (s *sender) suspectScope(first bool) SuspectScope {
+	switch {
+	case first:
+		return SuspectsEverywhere
+	case s.peerAddr == "":
+		return SuspectsNear
+	}
+	return SuspectsHere
+}
+
 // changedAgents returns the agents in current that differ from those in sentAgents,
 // and the server addresses of those that are missing in current. It updates
 // sentAgents to match current.
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -73,6 +73,31 @@
 	// sender, in milliseconds. A table is missing while the store does not respond.
 	// It is only sent with heartbeats.
 	ReadAgesMs map[catalog.Table]int64 `cbor:"10,keyasint,omitempty"`
+	// SuspectParts are the prompt parts under which servers have ended, if that has
+	// changed since the last message.
+	SuspectParts []SuspectPart `cbor:"11,keyasint,omitempty"`
+}
+
+// SuspectPart is a part of prompts that was at servers when they ended.
+type SuspectPart struct {
+	// ID identifies the part.
+	ID string `cbor:"1,keyasint"`
+	// Position is the position of the part in the prompt.
+	Position int `cbor:"2,keyasint,omitempty"`
+	// KnownSound is true if requests with the part had run before.
+	KnownSound bool `cbor:"3,keyasint,omitempty"`
+	// Ends are the ends of servers under the part.
+	Ends []PartEnd `cbor:"4,keyasint"`
+}
+
+// PartEnd is the end of a server while a request with a prompt part was there.
+type PartEnd struct {
+	// Boot identifies the boot of the server.
+	Boot string `cbor:"1,keyasint"`
+	// AgeMs is the time since the end, in milliseconds.
+	AgeMs int64 `cbor:"2,keyasint"`
+	// Refuted is true if a request with the part has run since.
+	Refuted bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RelayedAgent is an agent as the entry instances of its data centre see it.
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -101,6 +101,7 @@
 		},
 		WeightsDueAfter: weightsDueAfter(&s) - weightsMargin,
 		MaxWaitShare:    maxWaitShare,
+		Log:             log,
 	}, e.catalogHolder, clock)
 	e.fleetHub = fleet.NewHub(fleet.HubConfig{
 		DataCentre: s.DataCentre, Holder: e.catalogHolder, OnAgentState: e.scheduler.SetAgentState,
@@ -111,7 +112,7 @@
 			ID: s.Name, Role: core.RoleEntry, Addr: s.Listen.Peers, DataCentre: s.DataCentre, Region: s.Region,
 		},
 		Token: o.Token, Holder: e.catalogHolder, DeclaredFollower: e.declaredFollower, ServersFollower: e.serversFollower,
-		LoadTracker: e.scheduler, Agents: e.fleetHub, Log: log, Clock: clock,
+		LoadTracker: e.scheduler, Agents: e.fleetHub, Suspects: e.scheduler, Log: log, Clock: clock,
 	})
 	e.shareReads(catalog.TableDeclared, e.declaredFollower)
 	e.shareReads(catalog.TableServers, e.serversFollower)
--- a/request/dispatch/move.go
+++ b/request/dispatch/move.go
@@ -43,7 +43,7 @@
 	moveReq := *req
 	moveReq.Priority, moveReq.TriedServers = movePriority, maps.Clone(req.TriedServers)
 	moveReq.TriedServers[from.Server.ID] = true
-	w := &waiter{request: &moveReq, slot: make(chan Slot, 1)}
+	w := newWaiter(&moveReq)
 	s.enqueue(w)
 	s.assignWaiting()
 	return &MoveSearch{s, w}
--- /dev/null
+++ b/request/dispatch/partfleet_test.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattanway/rattanway/connection/exchange"
+	"github.com/rattanway/rattanway/connection/frame"
+)
+
+// partFleet replays, in virtual time, entry instances and servers that end when they
+// begin to respond to a request with one prompt part.
+type partFleet struct {
+	rng         *rand.Rand
+	now         time.Time
+	entries     []*partEntry
+	servers     []*partServer
+	dataCentres int
+	messages    []partMessage
+	// ends are the times at which servers ended, and arrivals those at which requests
+	// with the part reached servers.
+	ends, arrivals           []time.Time
+	soundCount, soundRefused int
+}
+
+// partEntry is an entry instance; sent holds the last change that it has sent to each
+// of the others.
+type partEntry struct {
+	quarantine *PartQuarantine
+	sent       []uint64
+}
+
+// partServer is a server; it is down until upAt.
+type partServer struct {
+	boot     int
+	upAt     time.Time
+	requests []*partRequest
+}
+
+// partRequest is a request at a server, which begins to respond to it at beginsAt.
+type partRequest struct {
+	entry    int
+	parts    []PromptPart
+	bad      bool
+	beginsAt time.Time
+	endsAt   time.Time
+}
+
+// partMessage is a report on its way.
+type partMessage struct {
+	to     int
+	o      observer
+	at     time.Time
+	report []frame.SuspectPart
+}
+
+const (
+	// partStep is the time between two steps of the replay.
+	partStep = 10 * time.Millisecond
+	// partSoundPerSecond is the number of sound requests per second and server.
+	partSoundPerSecond = 10
+	partTenantCount    = 10
+)
+
+func newPartFleet(seed uint64, entryCount, dataCentres, serverCount int) *partFleet {
+	f := &partFleet{rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_000_000), dataCentres: dataCentres}
+	for range entryCount {
+		f.entries = append(f.entries, &partEntry{NewPartQuarantine(), make([]uint64, entryCount)})
+	}
+	for range serverCount {
+		f.servers = append(f.servers, &partServer{})
+	}
+	return f
+}
+
+// run replays d of traffic. Requests with the part begin after a second.
+func (f *partFleet) run(d time.Duration, badPerSecond float64) {
+	begin := f.now
+	for ; f.now.Sub(begin) < d; f.now = f.now.Add(partStep) {
+		f.serve()
+		for range f.count(partSoundPerSecond * float64(len(f.servers))) {
+			f.send(false)
+		}
+		if f.now.Sub(begin) > time.Second {
+			for range f.count(badPerSecond) {
+				f.send(true)
+			}
+		}
+		f.exchange()
+	}
+}
+
+// count returns how many requests arrive in one step.
+func (f *partFleet) count(perSecond float64) int {
+	mean := perSecond * partStep.Seconds()
+	n := int(mean)
+	if f.rng.Float64() < mean-float64(n) {
+		n++
+	}
+	return n
+}
+
+// send sends one request through a random entry instance to a random server. Requests
+// with the part share their other parts with sound ones.
+func (f *partFleet) send(bad bool) {
+	r := &partRequest{entry: f.rng.IntN(len(f.entries)), bad: bad}
+	ids := []string{"first", fmt.Sprint("tenant-", f.rng.IntN(partTenantCount)), fmt.Sprint("session-", f.rng.IntN(1000))}
+	if bad {
+		ids[2] = "bad"
+	}
+	r.parts = parts(ids...)
+	if !bad {
+		f.soundCount++
+	}
+	f.dispatch(r)
+}
+
+// dispatch sends a request to a server that is up, unless a part is quarantined.
+func (f *partFleet) dispatch(r *partRequest) {
+	if _, held := f.entries[r.entry].quarantine.Holds(r.parts, f.now); held {
+		if !r.bad {
+			f.soundRefused++
+		}
+		return
+	}
+	s := f.servers[f.rng.IntN(len(f.servers))]
+	if f.now.Before(s.upAt) {
+		return
+	}
+	r.beginsAt = f.now.Add(time.Duration(100+f.rng.IntN(200)) * time.Millisecond)
+	r.endsAt = r.beginsAt.Add(time.Duration(600+f.rng.IntN(900)) * time.Millisecond)
+	s.requests = append(s.requests, r)
+	if r.bad {
+		f.arrivals = append(f.arrivals, f.now)
+	}
+}
+
+// serve ends the servers that began to respond to a request with the part, and
+// completes the requests that are due.
+func (f *partFleet) serve() {
+	const endDelay = 50 * time.Millisecond
+	for i, s := range f.servers {
+		running := s.requests
+		s.requests = nil
+		ended := false
+		for _, r := range running {
+			ended = ended || r.bad && f.now.Sub(r.beginsAt) >= endDelay
+		}
+		if ended {
+			f.end(i, running)
+			continue
+		}
+		for _, r := range running {
+			if f.now.Before(r.endsAt) {
+				s.requests = append(s.requests, r)
+				continue
+			}
+			f.entries[r.entry].quarantine.RecordSound(r.parts, f.now)
+		}
+	}
+}
+
+// end ends a server. The entry instances report the requests that may be the cause,
+// and send each of these requests to one more server.
+func (f *partFleet) end(i int, running []*partRequest) {
+	const minSurvival = 500 * time.Millisecond
+	s := f.servers[i]
+	boot := fmt.Sprint(i, "@", s.boot)
+	s.boot++
+	s.upAt = f.now.Add(time.Duration(1500+f.rng.IntN(2000)) * time.Millisecond)
+	f.ends = append(f.ends, f.now)
+	for _, r := range running {
+		if f.now.Sub(r.beginsAt) < minSurvival {
+			f.entries[r.entry].quarantine.RecordEnd(boot, r.parts, f.now, f.now)
+		}
+	}
+	for _, r := range running {
+		f.dispatch(r)
+	}
+}
+
+// exchange delivers the reports that are due and sends new ones: to each entry instance
+// of the same data centre, and to one of each other data centre, for all of it.
+func (f *partFleet) exchange() {
+	due := f.messages
+	f.messages = nil
+	never := func(string, time.Time) bool { return false }
+	for _, m := range due {
+		if f.now.Before(m.at) {
+			f.messages = append(f.messages, m)
+			continue
+		}
+		if _, err := f.entries[m.to].quarantine.merge(m.report, m.o, never, f.now); err != nil {
+			panic(err)
+		}
+	}
+	const sendInterval = 50 * time.Millisecond
+	if f.now.UnixNano()%int64(sendInterval) != 0 {
+		return
+	}
+	for from, e := range f.entries {
+		for to := range f.entries {
+			if e.sent[to] == e.quarantine.changeCount {
+				continue
+			}
+			scope, o := exchange.SuspectsHere, observedNear
+			if from%f.dataCentres != to%f.dataCentres {
+				scope, o = exchange.SuspectsNear, observedFar
+				if from/f.dataCentres != to%2 {
+					continue // another entry instance is the relay
+				}
+			}
+			if report := e.quarantine.changedSince(e.sent[to], scope, f.now); from != to && len(report) > 0 {
+				f.messages = append(f.messages, partMessage{to, o, f.now.Add(time.Duration(50+f.rng.IntN(250)) * time.Millisecond), report})
+			}
+			e.sent[to] = e.quarantine.changeCount
+		}
+	}
+}
+
+// lateArrivals returns how many requests with the part reached servers later than
+// contact after the fifth end.
+func (f *partFleet) lateArrivals(contact time.Duration) int {
+	const knownEnds = 5
+	if len(f.ends) < knownEnds {
+		return 0
+	}
+	late := 0
+	for _, at := range f.arrivals {
+		if at.Sub(f.ends[knownEnds-1]) > contact {
+			late++
+		}
+	}
+	return late
+}
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+)
 
 const (
 	// localPreference is the largest difference between the scaled loads of two
@@ -91,3 +96,15 @@
 func RetryAfterUnavailable(random float64) time.Duration {
 	return minRetryAfterUnavailable + time.Duration(random*float64(retryAfterJitter))
 }
+
+// RetryAfter returns the Retry-After value for a client whose request got no slot
+// because of err.
+func RetryAfter(err error) time.Duration {
+	switch {
+	case errors.Is(err, ErrNoServer):
+		return RetryAfterUnavailable(rand.Float64())
+	case errors.Is(err, ErrQuarantined):
+		return quarantineTime
+	}
+	return RetryAfterFull(rand.Float64())
+}
--- /dev/null
+++ b/request/dispatch/quarantine.go
@@ -0,0 +1,314 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Parameters of a [PartQuarantine].
+const (
+	// endsOfNewPart is the number of servers that must have ended under a part before
+	// the part is quarantined, if no request with the part is known to have run.
+	// endsOfSoundPart applies if requests with the part have run before.
+	endsOfNewPart   = 3
+	endsOfSoundPart = 5
+	// minEndSpacing is the least time between two ends that count separately. Servers
+	// that a fault of the platform ends together end at the same time.
+	minEndSpacing = 100 * time.Millisecond
+	// quarantineTime is how long a part stays quarantined after the last end under it.
+	// One more end renews the quarantine for as long as endMemory keeps the earlier ones.
+	quarantineTime = 2 * time.Minute
+	endMemory      = 10 * time.Minute
+	// soundMemory is how long a part is known to have run, at least.
+	soundMemory = time.Minute
+	// maxSuspectParts, maxEndsOfPart and maxSoundParts limit the memory.
+	maxSuspectParts = 256
+	maxEndsOfPart   = 16
+	maxSoundParts   = 4096
+)
+
+// PromptPart is a part of a prompt that several requests may have.
+type PromptPart struct {
+	// ID identifies the part together with the model.
+	ID string
+	// Position is the position of the part in the prompt. Later parts are rarer.
+	Position int
+}
+
+// PartQuarantine finds out which part of their prompts requests have in common that
+// end the servers at which they run, and keeps requests with that part away from the
+// servers. A request may be the cause of a server's end if the server had just begun
+// to respond to it or had not begun. A part is suspect while no request with it has
+// run since. Of several suspect parts the one with the most ends is quarantined,
+// which explains these ends, so that they no longer count for the others.
+type PartQuarantine struct {
+	parts map[string]*suspectPart
+	// sound and earlierSound hold the parts of requests that have run. sound is emptied
+	// into earlierSound when it is full or soundMemory old.
+	sound, earlierSound map[string]bool
+	soundSince          time.Time
+	// changeCount is the number of changes so far; see suspectPart.
+	changeCount uint64
+}
+
+// suspectPart is a part that was at servers that ended.
+type suspectPart struct {
+	position int
+	// knownSound is true if requests with the part had run before servers ended.
+	knownSound bool
+	// ends are in ascending order of time.
+	ends []partEnd
+	// quarantined is true once the part has been quarantined, until a request with it
+	// runs or the quarantine ends.
+	quarantined bool
+	// changed is the number of the last change; changedHere is that of the last change
+	// that this entry instance observed, and changedNear that of the last one observed
+	// in its data centre.
+	changed, changedHere, changedNear uint64
+}
+
+// partEnd is the end of a server while a request with the part was there.
+type partEnd struct {
+	// boot is the boot of the server.
+	boot string
+	at   time.Time
+	// refuted is true if a request with the part has run since.
+	refuted bool
+}
+
+// observer tells where something was observed.
+type observer int
+
+// The values of observer.
+const (
+	observedFar  observer = iota // in another data centre
+	observedNear                 // at another entry instance of this data centre
+	observedHere                 // at this entry instance
+)
+
+// NewPartQuarantine returns a quarantine without suspect parts.
+func NewPartQuarantine() *PartQuarantine {
+	return &PartQuarantine{parts: map[string]*suspectPart{}, sound: map[string]bool{}, earlierSound: map[string]bool{}}
+}
+
+// Holds reports whether one of the parts is quarantined at time now, and which.
+func (q *PartQuarantine) Holds(parts []PromptPart, now time.Time) (string, bool) {
+	if len(q.parts) == 0 {
+		return "", false
+	}
+	for _, part := range parts {
+		if p := q.parts[part.ID]; p != nil && p.quarantined && p.suspect(now) {
+			return part.ID, true
+		}
+	}
+	return "", false
+}
+
+// RecordEnd records that a boot of a server ended at time at, with requests there
+// that have the parts and may be the cause. It returns the parts that are
+// quarantined from now on.
+func (q *PartQuarantine) RecordEnd(boot string, parts []PromptPart, at, now time.Time) []string {
+	q.expire(now)
+	if _, held := q.Holds(parts, now); held {
+		parts = slices.DeleteFunc(slices.Clone(parts), func(part PromptPart) bool {
+			_, held := q.Holds([]PromptPart{part}, now)
+			return !held
+		})
+	}
+	for _, part := range parts {
+		q.addEnd(part, partEnd{boot: boot, at: at}, q.knownSound(part.ID), observedHere, now)
+	}
+	return q.convict(now)
+}
+
+// RecordSound records that a request with the parts has run and its server goes on.
+// It returns the parts that are no longer quarantined because of that.
+func (q *PartQuarantine) RecordSound(parts []PromptPart, now time.Time) []string {
+	if len(q.sound) >= maxSoundParts || now.Sub(q.soundSince) >= soundMemory {
+		q.earlierSound, q.sound, q.soundSince = q.sound, map[string]bool{}, now
+	}
+	var released []string
+	for _, part := range parts {
+		q.sound[part.ID] = true
+		p := q.parts[part.ID]
+		if p == nil {
+			continue
+		}
+		for i := range p.ends {
+			if !p.ends[i].refuted {
+				p.ends[i].refuted = true
+				q.markChanged(p, observedHere)
+			}
+		}
+		if p.quarantined {
+			p.quarantined = false
+			released = append(released, part.ID)
+		}
+	}
+	return released
+}
+
+// knownSound reports whether a request with the part is known to have run.
+func (q *PartQuarantine) knownSound(id string) bool { return q.sound[id] || q.earlierSound[id] }
+
+// addEnd adds an end to a part, unless it is known or a quarantined part explains it.
+// An end that is known becomes refuted if the new one is.
+func (q *PartQuarantine) addEnd(part PromptPart, end partEnd, knownSound bool, o observer, now time.Time) {
+	p := q.parts[part.ID]
+	if p == nil {
+		if end.refuted || q.explained(end.boot, part.ID, now) {
+			return
+		}
+		q.makeRoom()
+		p = &suspectPart{position: part.Position}
+		q.parts[part.ID] = p
+	}
+	if knownSound && !p.knownSound {
+		p.knownSound = true
+		q.markChanged(p, o)
+	}
+	i := slices.IndexFunc(p.ends, func(e partEnd) bool { return e.boot == end.boot })
+	switch {
+	case i >= 0 && end.refuted && !p.ends[i].refuted:
+		p.ends[i].refuted = true
+	case i >= 0 || q.explained(end.boot, part.ID, now):
+		return
+	default:
+		p.ends = append(p.ends, end)
+		slices.SortFunc(p.ends, func(a, b partEnd) int { return a.at.Compare(b.at) })
+		p.ends = p.ends[max(0, len(p.ends)-maxEndsOfPart):]
+	}
+	q.markChanged(p, o)
+	p.quarantined = p.quarantined && p.suspect(now)
+}
+
+// explained reports whether another part that is quarantined was at a boot that ended.
+func (q *PartQuarantine) explained(boot, except string, now time.Time) bool {
+	for id, p := range q.parts {
+		if id != except && p.quarantined && p.suspect(now) && p.endedUnder(boot) {
+			return true
+		}
+	}
+	return false
+}
+
+// endedUnder reports whether a boot ended under the part.
+func (p *suspectPart) endedUnder(boot string) bool {
+	return slices.ContainsFunc(p.ends, func(e partEnd) bool { return e.boot == boot && !e.refuted })
+}
+
+// convict quarantines the most suspect part and removes the ends that it explains from
+// the others, until no other part is suspect. It returns the parts that are quarantined
+// from now on.
+func (q *PartQuarantine) convict(now time.Time) []string {
+	var convicted []string
+	for worst := q.mostSuspect(now); worst != ""; worst = q.mostSuspect(now) {
+		q.parts[worst].quarantined = true
+		for id, p := range q.parts {
+			if id != worst && !p.quarantined {
+				p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool { return q.parts[worst].endedUnder(e.boot) })
+			}
+		}
+		convicted = append(convicted, worst)
+	}
+	return convicted
+}
+
+// mostSuspect returns the most suspect part that is not quarantined; empty if there is
+// none.
+func (q *PartQuarantine) mostSuspect(now time.Time) string {
+	worst := ""
+	for id, p := range q.parts {
+		if !p.quarantined && p.suspect(now) && (worst == "" || moreSuspect(id, p, worst, q.parts[worst], now)) {
+			worst = id
+		}
+	}
+	return worst
+}
+
+// moreSuspect orders suspect parts. All entry instances with the same ends have the
+// same order.
+func moreSuspect(idA string, a *suspectPart, idB string, b *suspectPart, now time.Time) bool {
+	switch countA, countB := a.countEnds(now), b.countEnds(now); {
+	case a.knownSound != b.knownSound:
+		return b.knownSound
+	case countA != countB:
+		return countA > countB
+	case a.position != b.position:
+		return a.position > b.position
+	}
+	return idA < idB
+}
+
+// suspect reports whether enough servers have ended under the part, the last one
+// within quarantineTime.
+func (p *suspectPart) suspect(now time.Time) bool {
+	needed := endsOfNewPart
+	if p.knownSound {
+		needed = endsOfSoundPart
+	}
+	return p.countEnds(now) >= needed
+}
+
+// countEnds returns the number of ends that are not refuted and are minEndSpacing
+// apart. It is 0 if the last one is quarantineTime ago.
+func (p *suspectPart) countEnds(now time.Time) int {
+	count := 0
+	var last time.Time
+	for _, e := range p.ends {
+		if e.refuted || now.Sub(e.at) >= endMemory || count > 0 && e.at.Sub(last) < minEndSpacing {
+			continue
+		}
+		count++
+		last = e.at
+	}
+	if now.Sub(last) >= quarantineTime {
+		return 0
+	}
+	return count
+}
+
+// lastEnd returns the time of the last end.
+func (p *suspectPart) lastEnd() time.Time {
+	if len(p.ends) == 0 {
+		return time.Time{}
+	}
+	return p.ends[len(p.ends)-1].at
+}
+
+// expire removes the parts without an end within endMemory.
+func (q *PartQuarantine) expire(now time.Time) {
+	for id, p := range q.parts {
+		if now.Sub(p.lastEnd()) >= endMemory {
+			delete(q.parts, id)
+		}
+	}
+}
+
+// makeRoom removes the part with the oldest last end if there are maxSuspectParts.
+// Quarantined parts are removed only if there are no others.
+func (q *PartQuarantine) makeRoom() {
+	if len(q.parts) < maxSuspectParts {
+		return
+	}
+	oldest := ""
+	for id, p := range q.parts {
+		o := q.parts[oldest]
+		if o == nil || o.quarantined && !p.quarantined || o.quarantined == p.quarantined && p.lastEnd().Before(o.lastEnd()) {
+			oldest = id
+		}
+	}
+	delete(q.parts, oldest)
+}
+
+// markChanged numbers a change of p that o observed.
+func (q *PartQuarantine) markChanged(p *suspectPart, o observer) {
+	q.changeCount++
+	p.changed = q.changeCount
+	if o >= observedNear {
+		p.changedNear = q.changeCount
+	}
+	if o == observedHere {
+		p.changedHere = q.changeCount
+	}
+}
--- /dev/null
+++ b/request/dispatch/quarantine_test.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/rattanway/rattanway/connection/exchange"
+	"github.com/rattanway/rattanway/connection/frame"
+)
+
+// parts returns the parts of a prompt in order.
+func parts(ids ...string) []PromptPart {
+	var all []PromptPart
+	for i, id := range ids {
+		all = append(all, PromptPart{id, i})
+	}
+	return all
+}
+
+// held reports whether a request with the parts is kept away from servers.
+func held(q *PartQuarantine, now time.Time, ids ...string) bool {
+	_, held := q.Holds(parts(ids...), now)
+	return held
+}
+
+// endServers records that n servers end one after the other under the parts, and
+// returns the time of the last end.
+func endServers(q *PartQuarantine, at time.Time, n int, ids ...string) time.Time {
+	for i := range n {
+		at = at.Add(minEndSpacing)
+		q.RecordEnd(fmt.Sprint(at.UnixMilli(), "-", i), parts(ids...), at, at)
+	}
+	return at
+}
+
+func TestPartQuarantine(t *testing.T) {
+	start := time.UnixMilli(1_000_000)
+	Convey("A part under which servers end one after the other is quarantined, its companions that run are not", t, func() {
+		q := NewPartQuarantine()
+		at := endServers(q, start, endsOfNewPart-1, "first", "bad")
+		So(held(q, at, "first", "bad"), ShouldBeFalse)
+		q.RecordSound(parts("first", "good"), at)
+		at = endServers(q, at, 1, "first", "bad")
+		So(held(q, at, "first", "bad"), ShouldBeTrue)
+		So(held(q, at, "first", "good"), ShouldBeFalse)
+	})
+	Convey("Of parts that were at the same servers, the rarer one is quarantined, which explains the ends", t, func() {
+		q := NewPartQuarantine()
+		at := endServers(q, start, 2*endsOfSoundPart, "first", "bad")
+		So(held(q, at, "bad"), ShouldBeTrue)
+		So(held(q, at, "first"), ShouldBeFalse)
+	})
+	Convey("Servers that a fault of the platform ends together quarantine nothing", t, func() {
+		q := NewPartQuarantine()
+		for i := range 20 {
+			q.RecordEnd(fmt.Sprint("s", i), parts("first", "second"), start.Add(time.Duration(i)*time.Millisecond), start.Add(time.Second))
+		}
+		So(held(q, start.Add(time.Second), "first", "second"), ShouldBeFalse)
+	})
+	Convey("Several reports about one server count once", t, func() {
+		q := NewPartQuarantine()
+		for i := range 20 {
+			at := start.Add(time.Duration(i) * time.Second)
+			q.RecordEnd("s", parts("first", "second"), at, at)
+		}
+		So(held(q, start.Add(20*time.Second), "first", "second"), ShouldBeFalse)
+	})
+	Convey("A part that has run before needs more ends", t, func() {
+		q := NewPartQuarantine()
+		q.RecordSound(parts("part"), start)
+		at := endServers(q, start, endsOfSoundPart-1, "part")
+		So(held(q, at, "part"), ShouldBeFalse)
+		at = endServers(q, at, 1, "part")
+		So(held(q, at, "part"), ShouldBeTrue)
+	})
+	Convey("A request that runs releases the part", t, func() {
+		q := NewPartQuarantine()
+		at := endServers(q, start, endsOfNewPart, "part")
+		So(q.RecordSound(parts("part"), at), ShouldResemble, []string{"part"})
+		So(held(q, at, "part"), ShouldBeFalse)
+	})
+	Convey("The quarantine ends, one more end renews it, and without one the ends are forgotten", t, func() {
+		q := NewPartQuarantine()
+		at := endServers(q, start, endsOfNewPart, "part").Add(quarantineTime)
+		So(held(q, at, "part"), ShouldBeFalse)
+		at = endServers(q, at, 1, "part")
+		So(held(q, at, "part"), ShouldBeTrue)
+		at = at.Add(endMemory)
+		So(held(q, at, "part"), ShouldBeFalse)
+		at = endServers(q, at, endsOfNewPart-1, "part")
+		So(held(q, at, "part"), ShouldBeFalse)
+	})
+	Convey("Many suspect parts use a bounded amount of memory and displace no quarantined one", t, func() {
+		q := NewPartQuarantine()
+		at := endServers(q, start, endsOfNewPart, "bad")
+		for i := range 4 * maxSuspectParts {
+			at = endServers(q, at, 1, fmt.Sprint("part-", i))
+		}
+		at = endServers(q, at, 4*maxEndsOfPart, "first")
+		So(len(q.parts), ShouldBeLessThanOrEqualTo, maxSuspectParts)
+		So(len(q.parts["first"].ends), ShouldBeLessThanOrEqualTo, maxEndsOfPart)
+		So(held(q, at, "bad"), ShouldBeTrue)
+		for i := range 3 * maxSoundParts {
+			q.RecordSound(parts(fmt.Sprint("sound-", i)), at)
+		}
+		So(len(q.sound)+len(q.earlierSound), ShouldBeLessThanOrEqualTo, 2*maxSoundParts)
+	})
+}
+
+func TestSuspectPartsOfPeers(t *testing.T) {
+	start := time.UnixMilli(1_000_000)
+	never := func(string, time.Time) bool { return false }
+	reportAfter := func(at time.Time) []frame.SuspectPart {
+		q := NewPartQuarantine()
+		endServers(q, start, endsOfNewPart, "bad")
+		return q.changedSince(0, exchange.SuspectsEverywhere, at)
+	}
+	now := start.Add(2 * time.Second)
+	Convey("An entry instance that has just started learns a quarantined part from one report", t, func() {
+		q := NewPartQuarantine()
+		convicted, err := q.merge(reportAfter(now), observedNear, never, now)
+		So(err, ShouldBeNil)
+		So(convicted, ShouldResemble, []string{"bad"})
+		So(held(q, now, "bad"), ShouldBeTrue)
+	})
+	Convey("A report is passed on once, and only as far as others do not get it directly", t, func() {
+		q := NewPartQuarantine()
+		_, _ = q.merge(reportAfter(now), observedNear, never, now)
+		before := q.changeCount
+		_, _ = q.merge(reportAfter(now.Add(time.Second)), observedFar, never, now.Add(time.Second))
+		So(q.changeCount, ShouldEqual, before)
+		So(q.changedSince(0, exchange.SuspectsHere, now), ShouldBeEmpty)
+		So(q.changedSince(0, exchange.SuspectsNear, now), ShouldHaveLength, 1)
+	})
+	Convey("The end of a server that has responded since is not believed", t, func() {
+		q := NewPartQuarantine()
+		_, _ = q.merge(reportAfter(now), observedNear, func(string, time.Time) bool { return true }, now)
+		So(held(q, now, "bad"), ShouldBeFalse)
+	})
+	Convey("A request that ran elsewhere releases the part here", t, func() {
+		q, other := NewPartQuarantine(), NewPartQuarantine()
+		_, _ = q.merge(reportAfter(now), observedNear, never, now)
+		_, _ = other.merge(reportAfter(now), observedNear, never, now)
+		other.RecordSound(parts("bad"), now)
+		_, _ = q.merge(other.changedSince(0, exchange.SuspectsHere, now), observedNear, never, now)
+		So(held(q, now, "bad"), ShouldBeFalse)
+	})
+	Convey("Invalid parts are rejected with the value, and valid ones of the same report are used", t, func() {
+		valid := reportAfter(now)[0]
+		for _, change := range []func(*frame.SuspectPart){
+			func(p *frame.SuspectPart) { p.ID = "" },
+			func(p *frame.SuspectPart) { p.ID = strings.Repeat("x", maxPartIDLength+1) },
+			func(p *frame.SuspectPart) { p.Position = -1 },
+			func(p *frame.SuspectPart) { p.Ends = make([]frame.PartEnd, maxEndsOfPart+1) },
+			func(p *frame.SuspectPart) { p.Ends = []frame.PartEnd{{Boot: "", AgeMs: 1}} },
+			func(p *frame.SuspectPart) { p.Ends = []frame.PartEnd{{Boot: "b", AgeMs: -1}} },
+			func(p *frame.SuspectPart) { p.Ends = []frame.PartEnd{{Boot: "b", AgeMs: endMemory.Milliseconds() + 1}} },
+		} {
+			invalid := valid
+			invalid.ID = "other"
+			change(&invalid)
+			q := NewPartQuarantine()
+			_, err := q.merge([]frame.SuspectPart{invalid, valid}, observedNear, never, now)
+			So(err, ShouldNotBeNil)
+			So(q.parts, ShouldHaveLength, 1)
+			So(held(q, now, "bad"), ShouldBeTrue)
+		}
+	})
+}
+
+// TestEntryInstancesFindThePart replays servers that end under one prompt part. Each
+// entry instance sees a few of the requests only and hears of the others late.
+func TestEntryInstancesFindThePart(t *testing.T) {
+	const seedCount = 4
+	for _, d := range []struct {
+		name                      string
+		entryCount, dataCentres   int
+		serverCount               int
+		badPerSecond, contactSecs float64
+	}{
+		{"4 entry instances", 4, 3, 24, 8, 3},
+		{"59 entry instances in five data centres", 59, 5, 138, 12, 5},
+		{"few requests with the part", 14, 3, 52, 0.5, 4},
+	} {
+		Convey("Given "+d.name, t, func() {
+			var sound, refused int
+			for seed := range uint64(seedCount) {
+				f := newPartFleet(seed, d.entryCount, d.dataCentres, d.serverCount)
+				f.run(20*time.Second, d.badPerSecond)
+				late := f.lateArrivals(time.Duration(d.contactSecs * float64(time.Second)))
+				if late > 3 {
+					t.Logf("seed %d: %d servers ended, %d requests too late", seed, len(f.ends), late)
+				}
+				So(late, ShouldBeLessThanOrEqualTo, 3)
+				sound, refused = sound+f.soundCount, refused+f.soundRefused
+			}
+			t.Logf("%s: %d of %d sound requests refused", d.name, refused, sound)
+			So(float64(refused), ShouldBeLessThanOrEqualTo, 0.001*float64(sound))
+		})
+	}
+}
--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -23,7 +23,7 @@
 	// the server; an empty list allows all regions.
 	RouteRegions, AccountRegions []string
 	// PromptParts are the parts of the prompt that other requests may have as well.
-	PromptParts []string
+	PromptParts []PromptPart
 	// Work is the estimated cost of the request for a server, in prompt tokens;
 	// 0 when unknown.
 	Work float64
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/rattanway/rattanway/connection/exchange"
 	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/version/catalog"
 )
 
@@ -25,6 +25,9 @@
 	// ErrRetryBudget is returned when the retry budget does not allow another
 	// attempt.
 	ErrRetryBudget = errors.New("too many repeats")
+	// ErrQuarantined is returned for a request with a prompt part under which servers
+	// have ended.
+	ErrQuarantined = errors.New("servers ended under a part of the prompt")
 )
 
 // Config holds the settings of a [Scheduler].
@@ -44,6 +47,9 @@
 	// MaxWaitShare is the fraction of a request's objective for which the request
 	// may wait for a slot.
 	MaxWaitShare float64
+	// Log receives an event when a prompt part is quarantined or released; nil discards
+	// the events.
+	Log *eventlog.Logger
 }
 
 // maxServerQueueLength is the maximum number of requests in a server's own queue.
@@ -63,6 +69,7 @@
 	mu           sync.Mutex
 	servers      map[string]*serverState // by server ID
 	peers        *peerLoads
+	quarantine   *PartQuarantine
 	agents       map[string]agentReport  // by server address
 	retryBudgets map[string]*RetryBudget // by service name
 	// waiting is the queue, ordered by priority and then by arrival.
@@ -89,6 +96,8 @@
 	burstLimiter    BurstLimiter
 	health          PassiveHealth
 	stallDetector   StallDetector
+	// lastResponseAt is when the server last sent something; zero if it has not.
+	lastResponseAt time.Time
 }
 
 // agentReport is the latest report of an agent about its server.
@@ -107,13 +116,22 @@
 	slot chan Slot
 	// assigned is true once a slot has been sent to the channel slot.
 	assigned bool
+	// quarantined is closed if a part of the request's prompt is quarantined.
+	quarantined chan struct{}
+}
+
+func newWaiter(req *Request) *waiter {
+	return &waiter{request: req, slot: make(chan Slot, 1), quarantined: make(chan struct{})}
 }
 
 // NewScheduler returns a [Scheduler] that uses the servers and the
 // configuration of holder.
 func NewScheduler(cfg Config, holder *catalog.Holder, clock clockwork.Clock) *Scheduler {
+	if cfg.Log == nil {
+		cfg.Log = eventlog.Discard()
+	}
 	return &Scheduler{
-		cfg: cfg, holder: holder, clock: clock,
+		cfg: cfg, quarantine: NewPartQuarantine(), holder: holder, clock: clock,
 		servers: map[string]*serverState{}, peers: newPeerLoads(),
 		agents: map[string]agentReport{}, retryBudgets: map[string]*RetryBudget{},
 	}
@@ -189,21 +207,23 @@
 
 // Acquire returns a slot for a request. If none is free, it waits for at most the
 // time that the method maxWait returns. The caller must give the slot back with
-// Release. The error is [ErrFull], [ErrNoServer] or the error of ctx.
+// Release. The error is [ErrFull], [ErrNoServer], [ErrQuarantined] or the error of ctx.
 func (s *Scheduler) Acquire(ctx context.Context, req *Request) (Slot, error) {
 	s.mu.Lock()
 	slot, err := s.assign(req)
 	maxWait := s.maxWait(req)
-	if err == nil || errors.Is(err, ErrNoServer) || maxWait <= 0 {
+	if err == nil || errors.Is(err, ErrNoServer) || errors.Is(err, ErrQuarantined) || maxWait <= 0 {
 		s.mu.Unlock()
 		return slot, err
 	}
-	w := &waiter{request: req, slot: make(chan Slot, 1)}
+	w := newWaiter(req)
 	s.enqueue(w)
 	s.mu.Unlock()
 	select {
 	case slot := <-w.slot:
 		return slot, nil
+	case <-w.quarantined:
+		return Slot{}, ErrQuarantined
 	case <-s.clock.After(maxWait):
 		err = ErrFull
 	case <-ctx.Done():
@@ -263,7 +283,9 @@
 func (s *Scheduler) RecordActivity(slot Slot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stateOf(slot.Server.ID).stallDetector.RecordActivity(s.clock.Now())
+	st := s.stateOf(slot.Server.ID)
+	st.lastResponseAt = s.clock.Now()
+	st.stallDetector.RecordActivity(st.lastResponseAt)
 }
 
 // assignWaiting assigns free slots to waiting requests until no more can be
@@ -299,8 +321,11 @@
 }
 
 // assign chooses a server for a request and counts the request there. The error
-// is [ErrFull] or [ErrNoServer]. The caller holds s.mu.
+// is [ErrFull], [ErrNoServer] or [ErrQuarantined]. The caller holds s.mu.
 func (s *Scheduler) assign(req *Request) (Slot, error) {
+	if _, held := s.quarantine.Holds(req.PromptParts, s.clock.Now()); held {
+		return Slot{}, ErrQuarantined
+	}
 	all := s.candidates(req)
 	if len(all) == 0 {
 		return Slot{}, ErrNoServer
@@ -468,12 +493,3 @@
 	}
 	s.assignWaiting()
 }
-
-// RetryAfter returns the Retry-After value for a client whose request got no slot
-// because of err.
-func RetryAfter(err error) time.Duration {
-	if errors.Is(err, ErrNoServer) {
-		return RetryAfterUnavailable(rand.Float64())
-	}
-	return RetryAfterFull(rand.Float64())
-}
--- /dev/null
+++ b/request/dispatch/suspects.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanway/rattanway/connection/exchange"
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/process/eventlog"
+)
+
+var (
+	eventPartQuarantined = eventlog.Define(546, "part-quarantined", logrus.WarnLevel,
+		"Servers ended one after the other under requests with one prompt part, and no request with the part has run since; requests with it are refused. The fields give the part and the number of ends.")
+	eventPartReleased = eventlog.Define(547, "part-released", logrus.WarnLevel,
+		"A request with a quarantined prompt part ran, and its server goes on; requests with the part are no longer refused.")
+)
+
+// Limits of what a peer may report.
+const (
+	maxPartIDLength   = 256
+	maxBootLength     = 128
+	maxPromptPosition = 1 << 10
+)
+
+// RecordServerEnd records that a boot of a server ended at time at while requests
+// with the given prompt parts had just begun there or had not begun.
+func (s *Scheduler) RecordServerEnd(boot string, parts []PromptPart, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.afterConviction(s.quarantine.RecordEnd(boot, parts, at, s.clock.Now()))
+}
+
+// RecordSound records that a request with the given prompt parts has run and that its
+// server goes on.
+func (s *Scheduler) RecordSound(parts []PromptPart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range s.quarantine.RecordSound(parts, s.clock.Now()) {
+		s.cfg.Log.Event(eventPartReleased, eventlog.Fields{"part": part})
+	}
+}
+
+// SuspectParts implements [exchange.SuspectTracker].
+func (s *Scheduler) SuspectParts(since uint64, scope exchange.SuspectScope) ([]frame.SuspectPart, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.changedSince(since, scope, s.clock.Now()), s.quarantine.changeCount
+}
+
+// MergeSuspectParts implements [exchange.SuspectTracker]. It ignores the end of a
+// server that has sent something to this entry instance since.
+func (s *Scheduler) MergeSuspectParts(parts []frame.SuspectPart, near bool) error {
+	if len(parts) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := observedFar
+	if near {
+		o = observedNear
+	}
+	quarantined, err := s.quarantine.merge(parts, o, s.respondedSince, s.clock.Now())
+	s.afterConviction(quarantined)
+	return err
+}
+
+// respondedSince reports whether a boot of a server has sent something to this entry
+// instance later than at. The caller holds s.mu.
+func (s *Scheduler) respondedSince(boot string, at time.Time) bool {
+	for _, server := range s.holder.Current().Servers {
+		if server.Boot() == boot {
+			st := s.servers[server.ID]
+			return st != nil && st.lastResponseAt.After(at)
+		}
+	}
+	return false
+}
+
+// afterConviction logs that parts are quarantined, and refuses the waiting requests
+// that have them. The caller holds s.mu.
+func (s *Scheduler) afterConviction(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	now := s.clock.Now()
+	for _, part := range parts {
+		s.cfg.Log.Event(eventPartQuarantined, eventlog.Fields{"part": part, "ends": s.quarantine.parts[part].countEnds(now)})
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
+		_, held := s.quarantine.Holds(w.request.PromptParts, now)
+		if held {
+			close(w.quarantined)
+		}
+		return held
+	})
+}
+
+// changedSince returns the parts that have changed since the change with number since,
+// for peers.
+func (q *PartQuarantine) changedSince(since uint64, scope exchange.SuspectScope, now time.Time) []frame.SuspectPart {
+	var changed []frame.SuspectPart
+	for id, p := range q.parts {
+		if p.lastChange(scope) <= since {
+			continue
+		}
+		part := frame.SuspectPart{ID: id, Position: p.position, KnownSound: p.knownSound}
+		for _, e := range p.ends {
+			part.Ends = append(part.Ends, frame.PartEnd{Boot: e.boot, AgeMs: now.Sub(e.at).Milliseconds(), Refuted: e.refuted})
+		}
+		changed = append(changed, part)
+	}
+	return changed
+}
+
+// lastChange returns the number of the last change in a scope.
+func (p *suspectPart) lastChange(scope exchange.SuspectScope) uint64 {
+	switch scope {
+	case exchange.SuspectsHere:
+		return p.changedHere
+	case exchange.SuspectsNear:
+		return p.changedNear
+	}
+	return p.changed
+}
+
+// merge adds what o reports. Invalid parts and ends, and ends that goesOn refutes, are
+// left out. It returns the parts that are quarantined from now on.
+func (q *PartQuarantine) merge(parts []frame.SuspectPart, o observer, goesOn func(string, time.Time) bool, now time.Time) ([]string, error) {
+	q.expire(now)
+	var invalid error
+	for _, part := range parts[:min(len(parts), maxSuspectParts)] {
+		if err := checkSuspectPart(part); err != nil {
+			invalid = err
+			continue
+		}
+		for _, e := range part.Ends {
+			end := partEnd{boot: e.Boot, at: now.Add(-time.Duration(e.AgeMs) * time.Millisecond), refuted: e.Refuted}
+			if e.Refuted || !goesOn(end.boot, end.at) {
+				q.addEnd(PromptPart{part.ID, part.Position}, end, part.KnownSound || q.knownSound(part.ID), o, now)
+			}
+		}
+	}
+	return q.convict(now), invalid
+}
+
+// checkSuspectPart returns an error that names the first invalid value of a part that
+// a peer has reported.
+func checkSuspectPart(part frame.SuspectPart) error {
+	switch {
+	case part.ID == "" || len(part.ID) > maxPartIDLength:
+		return errors.Errorf("ID of a prompt part has %d bytes, allowed are 1 to %d", len(part.ID), maxPartIDLength)
+	case part.Position < 0 || part.Position > maxPromptPosition:
+		return errors.Errorf("prompt part %q has position %d, allowed are 0 to %d", part.ID, part.Position, maxPromptPosition)
+	case len(part.Ends) > maxEndsOfPart:
+		return errors.Errorf("prompt part %q has %d ends, allowed are %d", part.ID, len(part.Ends), maxEndsOfPart)
+	}
+	for _, e := range part.Ends {
+		switch {
+		case e.Boot == "" || len(e.Boot) > maxBootLength:
+			return errors.Errorf("boot under prompt part %q has %d bytes, allowed are 1 to %d", part.ID, len(e.Boot), maxBootLength)
+		case e.AgeMs < 0 || e.AgeMs > endMemory.Milliseconds():
+			return errors.Errorf("end of %q under prompt part %q is %d ms ago, allowed are 0 to %d", e.Boot, part.ID, e.AgeMs, endMemory.Milliseconds())
+		}
+	}
+	return nil
+}
--- a/request/forward/endcheck.go
+++ b/request/forward/endcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -30,12 +31,12 @@
 	mu sync.Mutex
 	// partsAtRisk holds, by the boot of each server that is being checked, the prompt
 	// parts of the requests whose connections broke.
-	partsAtRisk map[string][]string
+	partsAtRisk map[string][]dispatch.PromptPart
 }
 
 // checkEnd starts a check whether a server has ended, unless one is in progress, and
 // adds the prompt parts of a request whose connection to the server broke.
-func (h *Handler) checkEnd(server *catalog.Server, parts []string) {
+func (h *Handler) checkEnd(server *catalog.Server, parts []dispatch.PromptPart) {
 	h.endChecks.mu.Lock()
 	defer h.endChecks.mu.Unlock()
 	known, inProgress := h.endChecks.partsAtRisk[server.Boot()]
@@ -64,6 +65,7 @@
 	if !ended {
 		return
 	}
+	h.cfg.Scheduler.RecordServerEnd(server.Boot(), parts, brokenAt)
 	h.stats.serversEnded.Inc(1)
 	h.cfg.Log.Event(eventServerEnded, eventlog.Fields{
 		"server": server.ID, "addr": server.Addr, "parts": clipParts(parts), "partCount": len(parts),
@@ -75,17 +77,33 @@
 // to be no possible cause of the server's end.
 const minSurvival = 500 * time.Millisecond
 
-// recordEffect starts a check of the server after an attempt whose response broke
-// off, if the request is a possible cause of the server's end.
+// recordEffect records that a server goes on after it has run the request, or starts
+// a check whether the server has ended, if the connection ended and the request is a
+// possible cause. The end of a response without a length is the end of its connection,
+// so it does not show that the server goes on.
 func (c *call) recordEffect(server *catalog.Server, r *attemptResult) {
+	parts := c.dispatchReq.PromptParts
+	if len(parts) == 0 {
+		return
+	}
 	survived := !r.begunAt.IsZero() && c.cfg.Clock.Now().Sub(r.begunAt) >= minSurvival
-	if r.outcome == dispatch.Broken && r.err != nil && !survived && len(c.dispatchReq.PromptParts) > 0 {
-		c.checkEnd(server, c.dispatchReq.PromptParts)
+	served := r.outcome == dispatch.Served && r.status < http.StatusMultipleChoices
+	switch {
+	case survived, served && !r.endedWithConn:
+		c.cfg.Scheduler.RecordSound(parts)
+	case served, r.outcome == dispatch.Broken && r.err != nil:
+		c.checkEnd(server, parts)
 	}
 }
 
 // maxLoggedParts limits the number of prompt parts in one log line.
 const maxLoggedParts = 16
 
-// clipParts returns the parts that one log line contains.
-func clipParts(parts []string) []string { return parts[:min(len(parts), maxLoggedParts)] }
+// clipParts returns the IDs of the parts that one log line contains.
+func clipParts(parts []dispatch.PromptPart) []string {
+	ids := []string{}
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/request/forward/endcheck_test.go
+++ b/request/forward/endcheck_test.go
@@ -7,13 +7,14 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/rattanway/rattanway/request/dispatch"
 	"github.com/rattanway/rattanway/test/wait"
 )
 
 func TestSharedPromptParts(t *testing.T) {
 	Convey("The last part and parts without a usable ID are left out", t, func() {
-		So(sharedPromptParts("m", "5c1e:800,91bd:410,e440:250"), ShouldResemble, []string{"m/5c1e", "m/91bd"})
-		So(sharedPromptParts("m", " 5c1e:800 ,:410,"+strings.Repeat("f", maxPartIDBytes+1)+":1,e440:250"), ShouldResemble, []string{"m/5c1e"})
+		So(sharedPromptParts("m", "5c1e:800,91bd:410,e440:250"), ShouldResemble, []dispatch.PromptPart{{ID: "m/5c1e", Position: 0}, {ID: "m/91bd", Position: 1}})
+		So(sharedPromptParts("m", " :800 ,5c1e:410,"+strings.Repeat("f", maxPartIDBytes+1)+":1,e440:250"), ShouldResemble, []dispatch.PromptPart{{ID: "m/5c1e", Position: 1}})
 		So(sharedPromptParts("m", "e440:250"), ShouldBeEmpty)
 		So(sharedPromptParts("m", ""), ShouldBeEmpty)
 	})
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -49,7 +49,7 @@
 	timer := func(name string) metrics.Timer {
 		return metrics.GetOrRegisterTimer("requests."+name+".nanoseconds", cfg.Metrics)
 	}
-	return &Handler{cfg: cfg, endChecks: endChecks{partsAtRisk: map[string][]string{}}, stats: stats{
+	return &Handler{cfg: cfg, endChecks: endChecks{partsAtRisk: map[string][]dispatch.PromptPart{}}, stats: stats{
 		answered: count("answered"), refused: count("refused"), failed: count("failed"),
 		clientLeft: count("left"), attempts: count("sent"),
 		serversEnded: metrics.GetOrRegisterCounter("servers.ended", cfg.Metrics),
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -160,7 +160,7 @@
 // was tried, there are servers that can run the request, so the error is
 // [dispatch.ErrFull]. Otherwise it is cause.
 func (c *call) slotError(cause error) error {
-	if len(c.dispatchReq.TriedServers) > 0 {
+	if len(c.dispatchReq.TriedServers) > 0 && !errors.Is(cause, dispatch.ErrQuarantined) {
 		return dispatch.ErrFull
 	}
 	return cause
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -32,6 +32,9 @@
 	// begunAt is when the server sent its first event with data, or the header of a
 	// response that is no stream; zero if it sent neither.
 	begunAt time.Time
+	// endedWithConn is true if the response has no length, so that the end of the
+	// connection is its end.
+	endedWithConn bool
 }
 
 // Reasons for which a response is not forwarded, or not completely.
@@ -95,7 +98,7 @@
 	}
 	c.cfg.Scheduler.RecordActivity(slot)
 	r := c.handleResponse(ctx, resp, slot, watch)
-	r.status = resp.StatusCode
+	r.status, r.endedWithConn = resp.StatusCode, backend.EndsWithConn(resp)
 	if r.err != nil {
 		conn.Close()
 		return c.markEnded(ctx, watch.markStalled(r))
