--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -98,6 +98,7 @@
 	stallDetector   StallDetector
 	// lastResponseAt is when the server last sent something; zero if it has not.
 	lastResponseAt time.Time
+	requestLimit   requestLimit
 }
 
 // agentReport is the latest report of an agent about its server.
--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -25,6 +25,9 @@
 	Receipt string
 	// NotRun is set by a server on a response to a request that it did not run.
 	NotRun string
+	// RequestLimit is set by a server that can take only a limited number of requests: the
+	// number per second, a decimal number, from all entry instances together.
+	RequestLimit string
 	// ExpectServer is the ID of the server that must run the request.
 	ExpectServer string
 	// ExpectVersion is the version of the weights that must be used.
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -97,6 +97,7 @@
 		return c.markEnded(ctx, watch.markStalled(attemptResult{outcome: dispatch.Broken, err: err, mayHaveArrived: true, mayHaveRun: true}))
 	}
 	c.cfg.Scheduler.RecordActivity(slot)
+	c.recordLimit(slot, resp)
 	r := c.handleResponse(ctx, resp, slot, watch)
 	r.status, r.endedWithConn = resp.StatusCode, backend.EndsWithConn(resp)
 	if r.err != nil {
