Entry instances share the limit that a server names

What callers saw: nothing yet; servers in need got 15 requests in 4 s where a limit of 1 a second allows 11, and 22 where 2.5 allows 20 (LIMIT), which is how a server in need comes to fail. Cause: nothing read the header in which a server names its limit, so requests went there as to any other server. Class: a bound that all entry instances must keep together, as the rate at a cold server. Ruled out: requests on their way (the servers got as many 3 s later), and each entry instance keeping the limit by itself. Change: the limiter for cold servers becomes SharedRateLimiter and serves both. Each entry instance takes an equal share, counted over 1 to 4 s; if the share is below one request, evenly spaced ranks decide which of them send, now exact for cold servers too. The reports of connection/exchange carry it beside the suspect prompt parts, as one message, Evidence, so that entry instances that send nothing learn when it ends.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -38,8 +38,8 @@
 		"This entry instance receives the load and the agents of another data centre from an entry instance there.")
 	eventFollowingEnded = eventlog.Define(154, "exchange-follow-gone", logrus.InfoLevel,
 		"The connection through which this entry instance followed another data centre failed or ended; it follows through another entry instance there.")
-	eventSuspectsRejected = eventlog.Define(155, "exchange-suspects-rejected", logrus.WarnLevel,
-		"A report of another entry instance about prompt parts under which servers ended has invalid entries, which are not used.")
+	eventEvidenceRejected = eventlog.Define(155, "exchange-evidence-rejected", logrus.WarnLevel,
+		"A report of another entry instance about what it observed at backend servers has invalid entries, which are not used.")
 )
 
 // LoadReport is the load of one entry instance or of a whole data centre.
@@ -66,30 +66,30 @@
 	RunningInDataCentre() (running map[string]int, instanceCount int)
 	// UpdatePeerLoads updates the counts of a peer or of a followed data centre.
 	UpdatePeerLoads(source string, r LoadReport)
-	// SetEntryInstanceCount sets the number of known entry instances, including this
-	// one.
-	SetEntryInstanceCount(n int)
+	// SetEntryInstances sets the number of known entry instances, including this one,
+	// and the position of this one in the order of their addresses, from 0.
+	SetEntryInstances(count, position int)
 }
 
-// SuspectTracker holds the prompt parts under which servers have ended.
-type SuspectTracker interface {
-	// SuspectParts returns the parts that have changed since the change with number
-	// since in the given scope, and the number of the last change.
-	SuspectParts(since uint64, s SuspectScope) ([]frame.SuspectPart, uint64)
-	// MergeSuspectParts adds the parts of a report from this data centre (near) or from
-	// another one. The error names what is invalid in the report; the valid parts are
+// EvidenceTracker holds what entry instances have observed at backend servers.
+type EvidenceTracker interface {
+	// Evidence returns what has changed since the change with number since in the given
+	// scope, and the number of the last change.
+	Evidence(since uint64, s EvidenceScope) (frame.Evidence, uint64)
+	// MergeEvidence adds what another entry instance of this data centre (near) or of
+	// another one has observed. The error names what is invalid; the valid parts are
 	// added nevertheless.
-	MergeSuspectParts(parts []frame.SuspectPart, near bool) error
+	MergeEvidence(e frame.Evidence, near bool) error
 }
 
-// SuspectScope selects changes of suspect parts by where they were observed.
-type SuspectScope int
+// EvidenceScope selects changes of evidence by where they were observed.
+type EvidenceScope int
 
-// The values of SuspectScope.
+// The values of EvidenceScope.
 const (
-	SuspectsEverywhere SuspectScope = iota // observed anywhere
-	SuspectsNear                           // observed in this data centre
-	SuspectsHere                           // observed by this entry instance
+	ObservedAnywhere EvidenceScope = iota
+	ObservedNear                   // in this data centre
+	ObservedHere                   // by this entry instance
 )
 
 // AgentDirectory holds the agents of all data centres.
@@ -120,8 +120,8 @@
 	LoadTracker LoadTracker
 	// Agents provides and receives the agents.
 	Agents AgentDirectory
-	// Suspects provides and receives the suspect prompt parts.
-	Suspects SuspectTracker
+	// Evidence provides and receives what was observed at backend servers.
+	Evidence EvidenceTracker
 	// Log receives the events of connections and table requests.
 	Log *eventlog.Logger
 	// Clock is the time source.
@@ -175,7 +175,13 @@
 	}
 	x.known[addr] = dataCentre
 	x.learned = append(x.learned, frame.EntryAddr{Addr: addr, DataCentre: dataCentre})
-	x.cfg.LoadTracker.SetEntryInstanceCount(len(x.known) + 1)
+	position := 0
+	for other := range x.known {
+		if other < x.cfg.Self.Addr {
+			position++
+		}
+	}
+	x.cfg.LoadTracker.SetEntryInstances(len(x.known)+1, position)
 	close(x.knownChanged)
 	x.knownChanged = make(chan struct{})
 }
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -115,8 +115,8 @@
 		x.recordReads(r.source, update.ReadAgesMs)
 	}
 	x.applyAges(update.DeclaredVersions)
-	if err := x.cfg.Suspects.MergeSuspectParts(update.SuspectParts, r.dataCentre == x.cfg.Self.DataCentre); err != nil {
-		x.cfg.Log.EventWithError(eventSuspectsRejected, err, eventlog.Fields{"peer": r.source})
+	if err := x.cfg.Evidence.MergeEvidence(update.Evidence, r.dataCentre == x.cfg.Self.DataCentre); err != nil {
+		x.cfg.Log.EventWithError(eventEvidenceRejected, err, eventlog.Fields{"peer": r.source})
 	}
 	return x.requestTables(r.conn, r.source, update, lags)
 }
--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -37,9 +37,8 @@
 	sentRunning    map[string]int
 	sentAgents     map[string]frame.RelayedAgent
 	sentEntryCount int
-	// sentSuspects is the number of the last change of suspect prompt parts that the
-	// receiver has.
-	sentSuspects uint64
+	// sentEvidence is the number of the last change of evidence that the receiver has.
+	sentEvidence uint64
 	// lastHeartbeat is the time of the last heartbeat; zero before the first report.
 	lastHeartbeat time.Time
 }
@@ -92,8 +91,8 @@
 		DeclaredRevision: x.cfg.DeclaredFollower.ChangeRevision(), ServersRevision: x.cfg.ServersFollower.ChangeRevision(),
 		Complete: s.lastHeartbeat.IsZero(), Entries: x.learnedSince(s.sentEntryCount),
 	}
-	var sentSuspects uint64
-	update.SuspectParts, sentSuspects = x.cfg.Suspects.SuspectParts(s.sentSuspects, s.suspectScope(update.Complete))
+	var sentEvidence uint64
+	update.Evidence, sentEvidence = x.cfg.Evidence.Evidence(s.sentEvidence, s.evidenceScope(update.Complete))
 	running := map[string]int(nil)
 	if s.peerAddr == "" {
 		running, update.InstanceCount = x.cfg.LoadTracker.RunningInDataCentre()
@@ -105,26 +104,25 @@
 	if heartbeatDue := now.Sub(s.lastHeartbeat) >= heartbeatInterval; heartbeatDue {
 		update.DeclaredVersions, update.ReadAgesMs = x.recentVersions(now), x.readAges(now)
 		s.lastHeartbeat = now
-	} else if len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents)+len(update.SuspectParts) == 0 {
+	} else if len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents) == 0 && update.Evidence.Empty() {
 		return nil
 	}
 	s.sentEntryCount += len(update.Entries)
-	s.sentSuspects = sentSuspects
+	s.sentEvidence = sentEvidence
 	return s.conn.Send(frame.KindLoadUpdate, update)
 }
 
-// suspectScope returns which changes of suspect prompt parts the receiver does not get
-// from others: those of this entry instance, or those of its data centre if the
-// receiver follows the data centre. A new connection gets all, because the receiver
-// may have just started.
-func (s *sender) suspectScope(first bool) SuspectScope {
+// evidenceScope returns which changes of evidence the receiver does not get from others:
+// those of this entry instance, or those of its data centre if the receiver follows the
+// data centre. A new connection gets all, because the receiver may have just started.
+func (s *sender) evidenceScope(first bool) EvidenceScope {
 	switch {
 	case first:
-		return SuspectsEverywhere
+		return ObservedAnywhere
 	case s.peerAddr == "":
-		return SuspectsNear
+		return ObservedNear
 	}
-	return SuspectsHere
+	return ObservedHere
 }
 
 // changedAgents returns the agents in current that differ from those in sentAgents,
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -73,9 +73,33 @@
 	// sender, in milliseconds. A table is missing while the store does not respond.
 	// It is only sent with heartbeats.
 	ReadAgesMs map[catalog.Table]int64 `cbor:"10,keyasint,omitempty"`
-	// SuspectParts are the prompt parts under which servers have ended, if that has
-	// changed since the last message.
-	SuspectParts []SuspectPart `cbor:"11,keyasint,omitempty"`
+	// Evidence is what has been observed at backend servers since the last message.
+	Evidence Evidence `cbor:"11,keyasint,omitzero"`
+}
+
+// Evidence is what entry instances have observed at backend servers.
+type Evidence struct {
+	// SuspectParts are the prompt parts under which servers have ended.
+	SuspectParts []SuspectPart `cbor:"1,keyasint,omitempty"`
+	// RequestLimits are the limits that servers name.
+	RequestLimits []RequestLimit `cbor:"2,keyasint,omitempty"`
+}
+
+// Empty reports whether there is no evidence.
+func (e Evidence) Empty() bool { return len(e.SuspectParts)+len(e.RequestLimits) == 0 }
+
+// RequestLimit is the limit of requests per second that a backend server named in a
+// response, for all entry instances together.
+type RequestLimit struct {
+	// Server is the id of the server, and Boot identifies its boot.
+	Server string `cbor:"1,keyasint"`
+	Boot   string `cbor:"2,keyasint"`
+	// Limited is false if the server named no limit.
+	Limited bool `cbor:"3,keyasint,omitempty"`
+	// PerSecond is the number of requests per second.
+	PerSecond float64 `cbor:"4,keyasint,omitempty"`
+	// AgeMs is the time since the response, in milliseconds.
+	AgeMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // SuspectPart is a part of prompts that was at servers when they ended.
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -94,7 +94,7 @@
 	e.declaredFollower = catalog.NewFollower(catalog.TableDeclared, e.store, e.catalogHolder, log, clock)
 	e.serversFollower = catalog.NewFollower(catalog.TableServers, e.store, e.catalogHolder, log, clock)
 	e.scheduler = dispatch.NewScheduler(dispatch.Config{
-		Self: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
+		DataCentre: s.DataCentre, Regions: s.Regions,
 		RetryLimits: dispatch.RetryLimits{
 			Ratio: s.Bounds.RetryBudgetRatio, Slack: s.Bounds.RetryBudgetSlack,
 			Window: time.Duration(s.Bounds.RetryBudgetWindowS * float64(time.Second)),
@@ -112,7 +112,7 @@
 			ID: s.Name, Role: core.RoleEntry, Addr: s.Listen.Peers, DataCentre: s.DataCentre, Region: s.Region,
 		},
 		Token: o.Token, Holder: e.catalogHolder, DeclaredFollower: e.declaredFollower, ServersFollower: e.serversFollower,
-		LoadTracker: e.scheduler, Agents: e.fleetHub, Suspects: e.scheduler, Log: log, Clock: clock,
+		LoadTracker: e.scheduler, Agents: e.fleetHub, Evidence: e.scheduler, Log: log, Clock: clock,
 	})
 	e.shareReads(catalog.TableDeclared, e.declaredFollower)
 	e.shareReads(catalog.TableServers, e.serversFollower)
--- a/request/dispatch/peerloads.go
+++ b/request/dispatch/peerloads.go
@@ -146,3 +146,63 @@
 	}
 	return out
 }
+
+// knownEntryInstanceCount returns the number of entry instances that may be sending
+// requests, even if they cannot be reached at present: all whose addresses are
+// known, or all sources that have ever reported if these are more. The caller holds
+// s.mu.
+func (s *Scheduler) knownEntryInstanceCount() int {
+	return max(s.listedInstanceCount, len(s.peers.bySource)+1)
+}
+
+// SetEntryInstances sets the number of entry instances whose addresses are known,
+// including this one, and the position of this one among them.
+func (s *Scheduler) SetEntryInstances(count, position int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listedInstanceCount, s.listedPosition = count, position
+}
+
+// RunningByServer returns the number of this entry instance's requests at each
+// server that runs any, by server ID.
+func (s *Scheduler) RunningByServer() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	s.addOwnRunning(out)
+	return out
+}
+
+// addOwnRunning adds this entry instance's requests at each server to counts. The
+// caller holds s.mu.
+func (s *Scheduler) addOwnRunning(counts map[string]int) {
+	for id, st := range s.servers {
+		if st.runningCount > 0 {
+			counts[id] += st.runningCount
+		}
+	}
+}
+
+// RunningInDataCentre returns the number of requests at each server that runs any, by
+// server ID, and the number of entry instances whose requests are counted: this one
+// and those of this data centre that have reported within peerTimeout.
+func (s *Scheduler) RunningInDataCentre() (map[string]int, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers.expire(s.clock.Now())
+	out := s.peers.localRunning()
+	s.addOwnRunning(out)
+	return out, s.peers.activeCount(false)
+}
+
+// UpdatePeerLoads records the load that a source reports: another entry instance of
+// this data centre, or another data centre.
+func (s *Scheduler) UpdatePeerLoads(source string, r exchange.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if s.peers.update(source, r, now) && now.Sub(s.lastPeerAssign) >= minPeerAssignInterval {
+		s.lastPeerAssign = now
+		s.assignWaiting()
+	}
+}
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -47,8 +47,7 @@
 	// into earlierSound when it is full or soundMemory old.
 	sound, earlierSound map[string]bool
 	soundSince          time.Time
-	// changeCount is the number of changes so far; see suspectPart.
-	changeCount uint64
+	changes             *changeCounter
 }
 
 // suspectPart is a part that was at servers that ended.
@@ -61,10 +60,7 @@
 	// quarantined is true once the part has been quarantined, until a request with it
 	// runs or the quarantine ends.
 	quarantined bool
-	// changed is the number of the last change; changedHere is that of the last change
-	// that this entry instance observed, and changedNear that of the last one observed
-	// in its data centre.
-	changed, changedHere, changedNear uint64
+	changeMark
 }
 
 // partEnd is the end of a server while a request with the part was there.
@@ -78,19 +74,10 @@
 	observer observer
 }
 
-// observer tells where something was observed.
-type observer int
-
-// The values of observer.
-const (
-	observedFar  observer = iota // in another data centre
-	observedNear                 // at another entry instance of this data centre
-	observedHere                 // at this entry instance
-)
-
-// NewPartQuarantine returns a quarantine without suspect parts.
-func NewPartQuarantine() *PartQuarantine {
-	return &PartQuarantine{parts: map[string]*suspectPart{}, sound: map[string]bool{}, earlierSound: map[string]bool{}}
+// NewPartQuarantine returns a quarantine without suspect parts. changes numbers its
+// changes.
+func NewPartQuarantine(changes *changeCounter) *PartQuarantine {
+	return &PartQuarantine{changes: changes, parts: map[string]*suspectPart{}, sound: map[string]bool{}, earlierSound: map[string]bool{}}
 }
 
 // Holds reports whether one of the parts is quarantined at time now, and which.
@@ -139,7 +126,7 @@
 		for i := range p.ends {
 			if !p.ends[i].refuted {
 				p.ends[i].refuted, p.ends[i].observer = true, observedHere
-				q.markChanged(p, observedHere)
+				q.changes.mark(&p.changeMark, observedHere)
 			}
 		}
 		if p.quarantined {
@@ -168,7 +155,7 @@
 	}
 	if knownSound && !p.knownSound {
 		p.knownSound = true
-		q.markChanged(p, o)
+		q.changes.mark(&p.changeMark, o)
 	}
 	i := slices.IndexFunc(p.ends, func(e partEnd) bool { return e.boot == end.boot })
 	switch {
@@ -182,7 +169,7 @@
 		slices.SortFunc(p.ends, func(a, b partEnd) int { return a.at.Compare(b.at) })
 		p.ends = p.ends[max(0, len(p.ends)-maxEndsOfPart):]
 	}
-	q.markChanged(p, o)
+	q.changes.mark(&p.changeMark, o)
 	p.quarantined = p.quarantined && p.suspect(now)
 }
 
@@ -304,15 +291,3 @@
 	}
 	delete(q.parts, oldest)
 }
-
-// markChanged numbers a change of p that o observed.
-func (q *PartQuarantine) markChanged(p *suspectPart, o observer) {
-	q.changeCount++
-	p.changed = q.changeCount
-	if o >= observedNear {
-		p.changedNear = q.changeCount
-	}
-	if o == observedHere {
-		p.changedHere = q.changeCount
-	}
-}
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/rattanway/rattanway/connection/exchange"
 	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/version/catalog"
@@ -32,8 +31,6 @@
 
 // Config holds the settings of a [Scheduler].
 type Config struct {
-	// Self is the ID of this entry instance.
-	Self string
 	// DataCentre is the data centre of this entry instance.
 	DataCentre string
 	// Regions maps each data centre to its region.
@@ -86,19 +83,25 @@
 	// listedInstanceCount is the number of entry instances whose addresses are known,
 	// including this one.
 	listedInstanceCount int
+	// listedPosition is the position of this entry instance among these, from 0.
+	listedPosition int
+	// changes numbers the changes of what is reported to other entry instances.
+	changes *changeCounter
 }
 
 // serverState holds what this entry instance has recorded about a server.
 type serverState struct {
 	// runningCount is the number of this entry instance's requests at the server.
 	runningCount    int
-	coldRateLimiter ColdRateLimiter
+	coldRateLimiter SharedRateLimiter
 	burstLimiter    BurstLimiter
 	health          PassiveHealth
 	stallDetector   StallDetector
 	// lastResponseAt is when the server last sent something; zero if it has not.
 	lastResponseAt time.Time
 	requestLimit   requestLimit
+	// limitRateLimiter counts the requests since the server has named a limit.
+	limitRateLimiter SharedRateLimiter
 }
 
 // agentReport is the latest report of an agent about its server.
@@ -131,8 +134,9 @@
 	if cfg.Log == nil {
 		cfg.Log = eventlog.Discard()
 	}
+	changes := &changeCounter{}
 	return &Scheduler{
-		cfg: cfg, quarantine: NewPartQuarantine(), holder: holder, clock: clock,
+		cfg: cfg, changes: changes, quarantine: NewPartQuarantine(changes), holder: holder, clock: clock,
 		servers: map[string]*serverState{}, peers: newPeerLoads(),
 		agents: map[string]agentReport{}, retryBudgets: map[string]*RetryBudget{},
 	}
@@ -164,22 +168,6 @@
 	return r
 }
 
-// knownEntryInstanceCount returns the number of entry instances that may be sending
-// requests, even if they cannot be reached at present: all whose addresses are
-// known, or all sources that have ever reported if these are more. The caller holds
-// s.mu.
-func (s *Scheduler) knownEntryInstanceCount() int {
-	return max(s.listedInstanceCount, len(s.peers.bySource)+1)
-}
-
-// SetEntryInstanceCount sets the number of entry instances whose addresses are
-// known, including this one.
-func (s *Scheduler) SetEntryInstanceCount(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listedInstanceCount = n
-}
-
 // assignInterval is the time between two attempts of Run to assign slots to
 // waiting requests. A server can become usable without the release of a slot, for
 // example at the end of its backoff.
@@ -342,7 +330,10 @@
 		st.stallDetector.RecordActivity(s.clock.Now())
 	}
 	st.runningCount++
-	st.coldRateLimiter.RecordSend(s.clock.Now())
+	st.coldRateLimiter.RecordSend(s.clock.Now(), coldWindow)
+	if st.requestLimit.limited {
+		st.limitRateLimiter.RecordSend(s.clock.Now(), maxLimitWindow)
+	}
 	st.burstLimiter.RecordSend(s.clock.Now())
 	return slot, nil
 }
@@ -376,9 +367,9 @@
 			Penalty: st.health.Penalty(),
 		}
 		blocked := st.health.InBackoff(now) || st.stallDetector.Stalled(now, st.runningCount, req.FirstByteObjective) ||
-			!st.burstLimiter.Allows(now, limit-c.Slot.RunningCount, s.peers.activeCount(remote))
+			!s.limitAllows(st, server, now) || !st.burstLimiter.Allows(now, limit-c.Slot.RunningCount, s.peers.activeCount(remote))
 		if service != nil && service.ColdRequestsPerSecond > 0 && server.Cold(now) {
-			blocked = blocked || !st.coldRateLimiter.Allows(now, service.ColdRequestsPerSecond, s.knownEntryInstanceCount(), shareRank(server.ID, s.cfg.Self))
+			blocked = blocked || !st.coldRateLimiter.Allows(now, coldWindow, service.ColdRequestsPerSecond, s.knownEntryInstanceCount(), s.shareRankAt(server))
 		}
 		if blocked {
 			c.Limit = 0
@@ -420,50 +411,6 @@
 	return st
 }
 
-// RunningByServer returns the number of this entry instance's requests at each
-// server that runs any, by server ID.
-func (s *Scheduler) RunningByServer() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := map[string]int{}
-	s.addOwnRunning(out)
-	return out
-}
-
-// addOwnRunning adds this entry instance's requests at each server to counts. The
-// caller holds s.mu.
-func (s *Scheduler) addOwnRunning(counts map[string]int) {
-	for id, st := range s.servers {
-		if st.runningCount > 0 {
-			counts[id] += st.runningCount
-		}
-	}
-}
-
-// RunningInDataCentre returns the number of requests at each server that runs any, by
-// server ID, and the number of entry instances whose requests are counted: this one
-// and those of this data centre that have reported within peerTimeout.
-func (s *Scheduler) RunningInDataCentre() (map[string]int, int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.peers.expire(s.clock.Now())
-	out := s.peers.localRunning()
-	s.addOwnRunning(out)
-	return out, s.peers.activeCount(false)
-}
-
-// UpdatePeerLoads records the load that a source reports: another entry instance of
-// this data centre, or another data centre.
-func (s *Scheduler) UpdatePeerLoads(source string, r exchange.LoadReport) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if s.peers.update(source, r, now) && now.Sub(s.lastPeerAssign) >= minPeerAssignInterval {
-		s.lastPeerAssign = now
-		s.assignWaiting()
-	}
-}
-
 // SetAgentState records the state that an agent reports for the server at addr;
 // nil removes the recorded state.
 func (s *Scheduler) SetAgentState(addr string, state *frame.AgentState) {
--- a/request/dispatch/sharedrate.go
+++ b/request/dispatch/sharedrate.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,37 +10,43 @@
 // coldWindow is the period over which the requests to a cold server are counted.
 const coldWindow = time.Second
 
-// ColdRateLimiter limits the rate at which one entry instance sends requests to a
-// cold server, that is, one that started recently. Each entry instance may use an
-// equal share of the rate that such a server can handle. Together they therefore
-// stay within that rate under full load, even while they cannot reach each other. If
-// there are more entry instances than requests per second, only some of them send.
-type ColdRateLimiter struct {
+// SharedRateLimiter limits the rate at which one entry instance sends requests to a
+// server that takes a limited rate from all entry instances together: a cold server,
+// that is, one that started recently, or one that names a limit. Each entry instance
+// may use an equal share of the rate. Together they therefore stay within it under full
+// load, even while they cannot reach each other. If there are more entry instances than
+// requests in the window, only some of them send.
+type SharedRateLimiter struct {
 	// sends holds the times of the requests that were sent to the server.
 	sends slidingWindow
 }
 
-// Allows reports whether this entry instance may send one more request at time
-// now to a server that can handle ratePerSecond requests per second.
-// entryInstanceCount is the number of entry instances that share this rate,
-// including this one. If they are more than the requests per second, rank decides
-// which of them send at all, one request per second each; see shareRank.
-func (c *ColdRateLimiter) Allows(now time.Time, ratePerSecond float64, entryInstanceCount int, rank float64) bool {
-	share := ratePerSecond / float64(max(1, entryInstanceCount))
+// Allows reports whether this entry instance may send one more request at time now to
+// a server that can handle ratePerSecond requests per second. window is the period over
+// which the requests are counted. entryInstanceCount is the number of entry instances
+// that share this rate, including this one. If they are more than the requests in the
+// window, rank decides which of them send at all, one request each; see shareRank.
+func (l *SharedRateLimiter) Allows(now time.Time, window time.Duration, ratePerSecond float64, entryInstanceCount int, rank float64) bool {
+	share := ratePerSecond * window.Seconds() / float64(max(1, entryInstanceCount))
 	limit := int(share)
 	if limit == 0 && rank < share {
 		limit = 1
 	}
-	return c.sends.count(now, coldWindow) < limit
+	return l.sends.count(now, window) < limit
 }
 
-// shareRank returns a number in [0, 1) that differs from entry instance to entry
-// instance and is evenly distributed. Another server gives another order, so that
-// the entry instances that send nothing to one cold server send to others.
-func shareRank(serverID, entryID string) float64 {
+// RecordSend records that a request was sent at time now. window is the longest period
+// over which the requests are counted.
+func (l *SharedRateLimiter) RecordSend(now time.Time, window time.Duration) { l.sends.add(now, window) }
+
+// shareRank returns the rank of an entry instance among count, in [0, 1). position is
+// its position in their order, from 0. The ranks are evenly spaced, so that the number
+// of those below a bound is exact as long as all entry instances know each other.
+// Another server gives another order, so that the entry instances that send nothing to
+// one server send to others.
+func shareRank(serverID string, position, count int) float64 {
 	const hashBits = 53 // a float64 represents integers of up to 53 bits exactly
-	return float64(xxhash.Sum64String(serverID+" "+entryID)>>(64-hashBits)) / (1 << hashBits)
+	first := float64(xxhash.Sum64String(serverID)>>(64-hashBits)) / (1 << hashBits)
+	_, rank := math.Modf(first + float64(position)/float64(max(1, count)))
+	return rank
 }
-
-// RecordSend records that a request was sent at time now.
-func (c *ColdRateLimiter) RecordSend(now time.Time) { c.sends.add(now, coldWindow) }
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -44,30 +44,6 @@
 	}
 }
 
-// SuspectParts implements [exchange.SuspectTracker].
-func (s *Scheduler) SuspectParts(since uint64, scope exchange.SuspectScope) ([]frame.SuspectPart, uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.quarantine.changedSince(since, scope, s.clock.Now()), s.quarantine.changeCount
-}
-
-// MergeSuspectParts implements [exchange.SuspectTracker]. It ignores the end of a
-// server that has sent something to this entry instance since.
-func (s *Scheduler) MergeSuspectParts(parts []frame.SuspectPart, near bool) error {
-	if len(parts) == 0 {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := observedFar
-	if near {
-		o = observedNear
-	}
-	quarantined, err := s.quarantine.merge(parts, o, s.respondedSince, s.clock.Now())
-	s.afterConviction(quarantined)
-	return err
-}
-
 // respondedSince reports whether a boot of a server has sent something to this entry
 // instance later than at. The caller holds s.mu.
 func (s *Scheduler) respondedSince(boot string, at time.Time) bool {
@@ -101,7 +77,7 @@
 
 // changedSince returns the parts that have changed since the change with number since,
 // for peers.
-func (q *PartQuarantine) changedSince(since uint64, scope exchange.SuspectScope, now time.Time) []frame.SuspectPart {
+func (q *PartQuarantine) changedSince(since uint64, scope exchange.EvidenceScope, now time.Time) []frame.SuspectPart {
 	var changed []frame.SuspectPart
 	for id, p := range q.parts {
 		if p.lastChange(scope) <= since {
@@ -116,17 +92,6 @@
 	return changed
 }
 
-// lastChange returns the number of the last change in a scope.
-func (p *suspectPart) lastChange(scope exchange.SuspectScope) uint64 {
-	switch scope {
-	case exchange.SuspectsHere:
-		return p.changedHere
-	case exchange.SuspectsNear:
-		return p.changedNear
-	}
-	return p.changed
-}
-
 // merge adds what o reports. Invalid parts and ends, and ends that goesOn refutes, are
 // left out. It returns the parts that are quarantined from now on.
 func (q *PartQuarantine) merge(parts []frame.SuspectPart, o observer, goesOn func(string, time.Time) bool, now time.Time) ([]string, error) {
