Tests of responses without a length and of streams that end inside an event

The code was right already; TestServerThatEnds adds that a short stream without a length counts as a possible cause of a server's end. No code changes.

--- a/request/forward/endcheck_test.go
+++ b/request/forward/endcheck_test.go
@@ -27,6 +27,16 @@
 // ended, and the reverse.
 func TestServerThatEnds(t *testing.T) {
 	prompt := []string{"X-Parts", "aa:1,bb:2,cc:3"}
+	Convey("A short stream without a length that ends together with the server is a possible cause", t, func() {
+		var s *fakeServer
+		s = newServer(t, "s", func(r receivedRequest, n int) string {
+			_ = s.listener.Close()
+			return respondWithoutLength("HTTP/1.1", "Content-Type: text/event-stream\r\n", event(1), false)(r, n)
+		})
+		f := newFixture(t, nil, s)
+		f.send(t, http.MethodPost, "/resumable/", "", prompt...)
+		So(wait.Until(func() bool { return f.handler.stats.serversEnded.Count() == 1 }), ShouldBeTrue)
+	})
 	Convey("Given a server that breaks off a stream", t, func() {
 		ends := false
 		var s *fakeServer
--- a/request/forward/fixture_test.go
+++ b/request/forward/fixture_test.go
@@ -123,6 +123,13 @@
 	return len(s.requests)
 }
 
+// connCount returns the number of connections accepted.
+func (s *fakeServer) connCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // lastRequest returns the last request received.
 func (s *fakeServer) lastRequest() receivedRequest {
 	s.mu.Lock()
