Only requests that end well clear a prompt part

Found by reading: a stream that broke off half a second or more after its first event cleared the parts of its prompt. A slow server that ends late under a part would so refute its own evidence, and the part would never be quarantined. Cause: surviving the beginning and ending well were one condition. Change: a stream that breaks off neither clears its parts nor, after a second (before half a second), counts as a possible cause; a complete one, one whose client left and one that moved do. An entry instance also tells the others that a part has run before if it hears of it from them first. Tests: TestServerThatEnds and TestSuspectPartsOfPeers; the first failed with the old condition (line 63).

--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -143,6 +143,14 @@
 		_, _ = q.merge(reportAfter(now), observedNear, never, now)
 		So(q.changedSince(0, exchange.ObservedNear, now), ShouldHaveLength, 1)
 	})
+	Convey("An entry instance at which the part has run before tells the others", t, func() {
+		q, other := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
+		q.RecordSound(parts("bad"), start)
+		_, _ = q.merge(reportAfter(now), observedNear, never, now)
+		So(held(q, now, "bad"), ShouldBeFalse)
+		_, _ = other.merge(q.changedSince(0, exchange.ObservedHere, now), observedNear, never, now)
+		So(held(other, now, "bad"), ShouldBeFalse)
+	})
 	Convey("The end of a server that has responded since is not believed", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
 		_, _ = q.merge(reportAfter(now), observedNear, func(string, time.Time) bool { return true }, now)
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -105,9 +105,13 @@
 		for _, e := range part.Ends {
 			end := partEnd{boot: e.Boot, at: now.Add(-time.Duration(e.AgeMs) * time.Millisecond), refuted: e.Refuted}
 			if e.Refuted || !goesOn(end.boot, end.at) {
-				q.addEnd(PromptPart{part.ID, part.Position}, end, part.KnownSound || q.knownSound(part.ID), o, now)
+				q.addEnd(PromptPart{part.ID, part.Position}, end, part.KnownSound, o, now)
 			}
 		}
+		if p := q.parts[part.ID]; p != nil && !p.knownSound && q.knownSound(part.ID) {
+			p.knownSound = true
+			q.changes.mark(&p.changeMark, observedHere)
+		}
 	}
 	return q.convict(now), invalid
 }
--- a/request/forward/endcheck.go
+++ b/request/forward/endcheck.go
@@ -74,8 +74,8 @@
 }
 
 // minSurvival is how long a server must go on after its first event for the request
-// to be no possible cause of the server's end.
-const minSurvival = 500 * time.Millisecond
+// to be no possible cause of the server's end. A slow server ends later.
+const minSurvival = time.Second
 
 // recordEffect records that a server goes on after it has run the request, or starts
 // a check whether the server has ended, if the connection ended and the request is a
@@ -88,10 +88,11 @@
 	}
 	survived := !r.begunAt.IsZero() && c.cfg.Clock.Now().Sub(r.begunAt) >= minSurvival
 	served := r.outcome == dispatch.Served && r.status < http.StatusMultipleChoices
+	leftRunning := r.outcome == dispatch.Cancelled || r.outcome == dispatch.Moved
 	switch {
-	case survived, served && !r.endedWithConn:
+	case served && !r.endedWithConn, survived && (served || leftRunning):
 		c.cfg.Scheduler.RecordSound(parts)
-	case served, r.outcome == dispatch.Broken && r.err != nil:
+	case !survived && (served || r.outcome == dispatch.Broken && r.err != nil):
 		c.checkEnd(server, parts)
 	}
 }
--- a/request/forward/endcheck_test.go
+++ b/request/forward/endcheck_test.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -37,6 +39,31 @@
 		f.send(t, http.MethodPost, "/resumable/", "", prompt...)
 		So(wait.Until(func() bool { return f.handler.stats.serversEnded.Count() == 1 }), ShouldBeTrue)
 	})
+	Convey("A stream that breaks off long after it began clears no part, and one that is complete does", t, func() {
+		for _, breaksOff := range []bool{true, false} {
+			s := newServer(t, "s", func(r receivedRequest, _ int) string {
+				if !breaksOff {
+					return streamHeader(r) + chunk(event(1)) + lastChunk
+				}
+				if _, err := io.WriteString(r.conn, streamHeader(r)+chunk(event(1))); err == nil {
+					<-time.After(minSurvival + 100*time.Millisecond)
+				}
+				return ""
+			})
+			f := newFixture(t, nil, s)
+			recordEnd := func(boot string, age time.Duration) {
+				f.scheduler.RecordServerEnd(boot, sharedPromptParts("", prompt[1]), time.Now().Add(-age))
+			}
+			recordEnd("1", 2*time.Second)
+			recordEnd("2", time.Second)
+			f.send(t, http.MethodPost, "/stream/", "", prompt...)
+			So(s.requestCount(), ShouldEqual, 1)
+			recordEnd("3", 0)
+			o := f.send(t, http.MethodPost, "/stream/", "", prompt...)
+			So(o.status == http.StatusServiceUnavailable, ShouldEqual, breaksOff)
+			So(s.requestCount() == 1, ShouldEqual, breaksOff)
+		}
+	})
 	Convey("Given a server that breaks off a stream", t, func() {
 		ends := false
 		var s *fakeServer
