A stream that has begun may go back to a server that refused it

A refusal does not run the request, but kept the server from getting it again. TestStreamWaitsForTheServerThatRefusedIt failed before: unexpected EOF after the first event.

--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -321,6 +322,35 @@
 	})
 }
 
+// TestStreamWaitsForTheServerThatRefusedIt guards against breaking off a stream that has
+// begun because the only other server was full for a moment.
+func TestStreamWaitsForTheServerThatRefusedIt(t *testing.T) {
+	Convey("A stream whose server ends continues at a server that first refuses it", t, func() {
+		refused := false
+		respond := func(r receivedRequest, _ int) string {
+			switch {
+			case r.req.Header.Get("Last-Event-Id") == "":
+				return streamHeader(r) + chunk(event(1)) + closeMarker
+			case !refused:
+				refused = true
+				return notRunResponse(r)
+			}
+			return streamHeader(r) + chunk(event(2)) + lastChunk
+		}
+		a, b := newServer(t, "s1", respond), newServer(t, "s2", respond)
+		f := newFixture(t, nil, a, b)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = f.scheduler.Run(ctx) })
+		o := f.send(t, http.MethodPost, "/resumable/", "prompt")
+		cancel()
+		running.Wait()
+		So(o.err, ShouldBeNil)
+		So(o.body, ShouldEqual, event(1)+event(2))
+		So(a.requestCount()+b.requestCount(), ShouldEqual, 3)
+	})
+}
+
 func TestEstimateWork(t *testing.T) {
 	estimate := func(tokens, answer string) float64 {
 		r := httptest.NewRequest(http.MethodPost, "/resumable/", nil)
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -28,7 +28,11 @@
 			c.recordAnswered(slot)
 			return
 		}
-		c.dispatchReq.TriedServers[slot.Server.ID] = true
+		// A stream that has begun has no other way on but a server that is full for a
+		// moment, if the others load weights.
+		if result.outcome != dispatch.Full || !c.headerSent {
+			c.dispatchReq.TriedServers[slot.Server.ID] = true
+		}
 		if result.mayHaveRun {
 			c.dispatchReq.MaxRetryWait = retryWait
 		}
