Ends that are too old for peers are not reported to them

Found by reading: a part keeps its ends as long as the last one is recent, but a peer rejects the whole part if one end is older than it accepts. A quarantine that is renewed for more than 10 min would so no longer reach entry instances that start meanwhile. Change: a report leaves out ends older than endMemory, which no longer count. TestSuspectPartsOfPeers failed before: 'end of 1000100-0 under prompt part bad is 660200 ms ago, allowed are 0 to 600000'; it passes now.

--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -136,6 +136,16 @@
 		So(q.changedSince(0, exchange.ObservedHere, now), ShouldBeEmpty)
 		So(q.changedSince(0, exchange.ObservedNear, now), ShouldHaveLength, 1)
 	})
+	Convey("A part with ends that are no longer kept is reported without them", t, func() {
+		q, other := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
+		endServers(q, start, endsOfNewPart, "bad")
+		later := start.Add(endMemory + time.Second)
+		at := endServers(q, later.Add(-time.Second), endsOfNewPart, "bad")
+		endServers(q, later, 1, "bad")
+		_, err := other.merge(q.changedSince(0, exchange.ObservedAnywhere, at.Add(time.Minute)), observedNear, never, at.Add(time.Minute))
+		So(err, ShouldBeNil)
+		So(held(other, at.Add(time.Minute), "bad"), ShouldBeTrue)
+	})
 	Convey("A relay passes on what it heard from another data centre first and from its own later", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
 		_, _ = q.merge(reportAfter(now), observedFar, never, now)
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -85,6 +85,9 @@
 		}
 		part := frame.SuspectPart{ID: id, Position: p.position, KnownSound: p.knownSound}
 		for _, e := range p.ends {
+			if now.Sub(e.at) >= endMemory {
+				continue
+			}
 			part.Ends = append(part.Ends, frame.PartEnd{Boot: e.boot, AgeMs: now.Sub(e.at).Milliseconds(), Refuted: e.refuted})
 		}
 		changed = append(changed, part)
