A limit of more than a million requests a second is none

Found by reading: a server that names such a limit would have made each peer reject the report with a warning every few seconds. It now counts as no limit (TestLimitsOfPeers; peers accept the report).

--- a/request/dispatch/requestlimit.go
+++ b/request/dispatch/requestlimit.go
@@ -28,7 +28,7 @@
 	limitMemory = 15 * time.Second
 	// minAgingLimit is the least limit per second that doubles.
 	minAgingLimit = 0.25
-	// maxRequestLimit is the largest limit per second that a peer may report.
+	// maxRequestLimit is the largest limit per second; a larger one is no limit.
 	maxRequestLimit = 1e6
 )
 
@@ -113,6 +113,10 @@
 func (s *Scheduler) RecordLimit(server *catalog.Server, perSecond float64, limited bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	limited = limited && perSecond <= maxRequestLimit
+	if !limited {
+		perSecond = 0
+	}
 	s.updateLimit(server, limited, perSecond, s.clock.Now(), observedHere)
 }
 
--- a/request/dispatch/requestlimit_test.go
+++ b/request/dispatch/requestlimit_test.go
@@ -105,6 +105,13 @@
 			So(f.scheduler.MergeEvidence(report, true), ShouldBeNil)
 			So(f.acquiredIn(4*time.Second), ShouldBeGreaterThan, 20)
 		})
+		Convey("a limit without meaning is none, and peers accept the report", func() {
+			f.clock.Advance(time.Millisecond)
+			other.RecordLimit(server, 10*maxRequestLimit, true)
+			report, _ = other.Evidence(0, exchange.ObservedHere)
+			So(f.scheduler.MergeEvidence(report, true), ShouldBeNil)
+			So(f.acquiredIn(4*time.Second), ShouldBeGreaterThan, 20)
+		})
 		Convey("a limit of a server that is not listed, or of another boot, is ignored", func() {
 			for _, change := range []func(*frame.RequestLimit){
 				func(l *frame.RequestLimit) { l.Server = "unknown" },
