Test of reports of suspect parts checks each entry instance by itself

Cause: the check was wrong in two ways. It bounded a sum over all entry instances, and it counted new connections at their senders, and only those opened after the part was known. While the instances get to know each other, connections of the mesh are still open to the other data centre, and one that changes its relay can get the part from both: each such connection adds a report that is no first one. Ruled out: a part that is sent twice on one connection; Evidence is asked with the number of the last change that was sent. Change: a test of its own starts the entry instances with all addresses known, so that only the planned connections open, and checks each one: one report, and at most two more for each connection that opened to it meanwhile. No code outside tests changes.

--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -54,8 +54,9 @@
 	received map[string]int
 	// remote holds the servers whose count another data centre has reported.
 	remote map[string]bool
-	// localReports is the number of complete reports from the own data centre.
-	localReports int
+	// completeReports is the number of complete reports, one on each connection, and
+	// localReports the number of those from the own data centre.
+	completeReports, localReports int
 	// largestReport is the largest number of instances that one report covered.
 	largestReport int
 	// knownCount is the number of known instances.
@@ -69,9 +70,8 @@
 	// changes holds the number of the last change of each part by scope.
 	changes     map[string]map[EvidenceScope]uint64
 	changeCount uint64
-	// mergedCounts holds the number of reports of each part, and firstCounts the number of
-	// new connections on which this instance has sent it.
-	mergedCounts, firstCounts map[string]int
+	// mergedCounts holds the number of reports of each part.
+	mergedCounts map[string]int
 }
 
 // observe adds a part that was observed in the given scopes, unless that is known.
@@ -100,9 +100,6 @@
 	var parts []frame.SuspectPart
 	for id, last := range f.changes {
 		if last[scope] > since {
-			if scope == ObservedAnywhere {
-				f.firstCounts[id]++
-			}
 			parts = append(parts, frame.SuspectPart{ID: id})
 		}
 	}
@@ -123,12 +120,11 @@
 	return nil
 }
 
-// counts returns the number of reports of a part so far, and the number of new
-// connections on which this instance has sent it.
-func (f *fakeEvidence) counts(id string) (merged, first int) {
+// mergedCount returns the number of reports of a part so far.
+func (f *fakeEvidence) mergedCount(id string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.mergedCounts[id], f.firstCounts[id]
+	return f.mergedCounts[id]
 }
 
 // knows reports whether the instance has observed or received a part.
@@ -221,6 +217,9 @@
 		l.received[id] = n
 		l.remote[id] = r.Remote
 	}
+	if r.Complete {
+		l.completeReports++
+	}
 	if r.Complete && !r.Remote {
 		l.localReports++
 	}
@@ -233,6 +232,13 @@
 	l.knownCount = n
 }
 
+// connectionCount returns the number of connections so far on which reports have arrived.
+func (l *fakeLoadTracker) connectionCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.completeReports
+}
+
 func (l *fakeLoadTracker) receivedCount(id string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -248,6 +254,8 @@
 	loadTracker                       *fakeLoadTracker
 	agents                            *fakeAgents
 	evidence                          *fakeEvidence
+	// start opens the connections to the other instances.
+	start func()
 	// stop ends the instance and closes its connections.
 	stop func()
 }
@@ -281,6 +289,15 @@
 // newTestInstance starts an instance without the address of any other instance. The
 // data centre of the instance is the part of name before a dot; empty without a dot.
 func newTestInstance(t *testing.T, name string) *testInstance {
+	t.Helper()
+	i := newIdleTestInstance(t, name)
+	i.start()
+	return i
+}
+
+// newIdleTestInstance returns an instance that accepts connections, and opens some
+// only after start has been called.
+func newIdleTestInstance(t *testing.T, name string) *testInstance {
 	t.Helper()
 	clock, log := clockwork.NewRealClock(), eventlog.Discard()
 	i := &testInstance{holder: catalog.NewHolder(log), loadTracker: &fakeLoadTracker{received: map[string]int{}, remote: map[string]bool{}}}
@@ -289,7 +306,7 @@
 	if !inDataCentre {
 		dataCentre = ""
 	}
-	i.evidence = &fakeEvidence{changes: map[string]map[EvidenceScope]uint64{}, mergedCounts: map[string]int{}, firstCounts: map[string]int{}}
+	i.evidence = &fakeEvidence{changes: map[string]map[EvidenceScope]uint64{}, mergedCounts: map[string]int{}}
 	i.declaredFollower = catalog.NewFollower(catalog.TableDeclared, unavailableStore{}, i.holder, log, clock)
 	i.serversFollower = catalog.NewFollower(catalog.TableServers, unavailableStore{}, i.holder, log, clock)
 	var handler http.Handler
@@ -303,14 +320,11 @@
 	})
 	handler = httpserver.RequirePeerToken(token, i.Exchange)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = i.Run(ctx)
-	}()
+	var running sync.WaitGroup
+	i.start = func() { running.Go(func() { _ = i.Run(ctx) }) }
 	i.stop = sync.OnceFunc(func() {
 		cancel()
-		<-done
+		running.Wait()
 		accepted.closeAll()
 		server.CloseClientConnections()
 		server.Close()
--- a/connection/exchange/follow_test.go
+++ b/connection/exchange/follow_test.go
@@ -79,7 +79,7 @@
 			So(wait.Until(func() bool { return b[0].loadTracker.receivedCount("s9") > 0 }), ShouldBeTrue)
 		})
 
-		Convey("a suspect prompt part reaches each of them, also one that starts later, in a bounded number of reports", func() {
+		Convey("a suspect prompt part reaches each of them, also one that starts later", func() {
 			// The connections are not complete yet.
 			a[2].evidence.observeHere("early")
 			So(wait.Until(func() bool {
@@ -95,15 +95,6 @@
 			So(wait.Until(func() bool {
 				return allMeet(all, func(i *testInstance) bool { return i.evidence.knows("part") })
 			}), ShouldBeTrue)
-			// One report reaches each of the others, and one more on each new connection:
-			// on a busy machine connections time out and are opened again.
-			reports, firstReports := 0, 0
-			for _, i := range all {
-				merged, first := i.evidence.counts("part")
-				reports, firstReports = reports+merged, firstReports+first
-			}
-			t.Logf("%d reports, %d of them on new connections", reports, firstReports)
-			So(reports-firstReports, ShouldBeLessThanOrEqualTo, len(all)-1)
 			late := newTestInstance(t, "b.late")
 			late.AddPeer(b[0].cfg.Self.Addr, "")
 			So(wait.Until(func() bool { return late.evidence.knows("part") }), ShouldBeTrue)
@@ -125,6 +116,53 @@
 	})
 }
 
+func TestEvidenceReports(t *testing.T) {
+	Convey("Given two large data centres whose entry instances know each other from the start", t, func() {
+		var all []*testInstance
+		for i := range maxMeshInstances/2 + 1 {
+			all = append(all, newIdleTestInstance(t, fmt.Sprintf("a.%d", i)), newIdleTestInstance(t, fmt.Sprintf("b.%d", i)))
+		}
+		for _, i := range all {
+			for _, other := range all {
+				i.AddPeer(other.cfg.Self.Addr, other.cfg.Self.DataCentre)
+			}
+		}
+		for _, i := range all {
+			i.start()
+		}
+		// The others of its data centre, and the one through which it follows the other.
+		const sources = maxMeshInstances/2 + 1
+		So(wait.Until(func() bool {
+			return allMeet(all, func(i *testInstance) bool { return i.loadTracker.connectionCount() >= sources })
+		}), ShouldBeTrue)
+
+		Convey("a suspect part reaches each of the others in one report, plus at most two for each connection that opens meanwhile", func() {
+			observer, others := all[0], all[1:]
+			connectionsBefore := map[*testInstance]int{}
+			for _, i := range others {
+				connectionsBefore[i] = i.loadTracker.connectionCount()
+			}
+			observer.evidence.observeHere("part")
+			So(wait.Until(func() bool {
+				return allMeet(others, func(i *testInstance) bool { return i.evidence.knows("part") })
+			}), ShouldBeTrue)
+			// The relays and the followers that learn it last have sent it on by now.
+			observer.evidence.observeHere("next")
+			So(wait.Until(func() bool {
+				return allMeet(others, func(i *testInstance) bool { return i.evidence.knows("next") })
+			}), ShouldBeTrue)
+			for _, i := range others {
+				reports := i.evidence.mergedCount("part")
+				newConnections := i.loadTracker.connectionCount() - connectionsBefore[i]
+				if newConnections > 0 {
+					t.Logf("%s: %d reports, %d new connections", i.cfg.Self.ID, reports, newConnections)
+				}
+				So(reports, ShouldBeLessThanOrEqualTo, 1+2*newConnections)
+			}
+		})
+	})
+}
+
 // knownAddrs returns the addresses of the known instances, including this one.
 func (x *Exchange) knownAddrs() map[string]bool {
 	entries, _ := x.KnownEntries()
