A request that may have run waits for servers that load weights

Scheduler.Acquire then returns ErrNoServer at once, and the stream is broken off (event 542, "no server can run it", 1 ms later), although the next server is ready within a second. The same ends streams whose server is cut off or ends while weights are loaded. Change: a request that may have run, and so cannot be refused any more, waits for its MaxRetryWait while a server that it may use only lacks the weights. Others are still refused at once, and so is one that has tried every server. The error after the wait says what was missing. TestRequestWaitsForWeights and TestStreamWaitsForWeights failed: ErrNoServer at once; unexpected EOF after the first event.

--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -36,8 +36,9 @@
 	// byte of the response; 0 if there is none.
 	FirstByteObjective time.Duration
 	// MaxRetryWait is how long the request may wait for a slot after an attempt that
-	// may have run. It applies if the objective allows only a shorter wait. It is 0
-	// before such an attempt.
+	// may have run. It applies if the objective allows only a shorter wait, and also
+	// while the servers that remain only lack the weights. It is 0 before such an
+	// attempt.
 	MaxRetryWait time.Duration
 	// TriedServers holds the IDs of the servers that must not receive the request again.
 	TriedServers map[string]bool
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -201,7 +201,7 @@
 	s.mu.Lock()
 	slot, err := s.assign(req)
 	maxWait := s.maxWait(req)
-	if err == nil || errors.Is(err, ErrNoServer) || errors.Is(err, ErrQuarantined) || maxWait <= 0 {
+	if err == nil || errors.Is(err, ErrQuarantined) || maxWait <= 0 || errors.Is(err, ErrNoServer) && !s.mayGetServer(req) {
 		s.mu.Unlock()
 		return slot, err
 	}
@@ -214,7 +214,6 @@
 	case <-w.quarantined:
 		return Slot{}, ErrQuarantined
 	case <-s.clock.After(maxWait):
-		err = ErrFull
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -227,6 +226,16 @@
 	return Slot{}, err
 }
 
+// mayGetServer reports whether a request that no server can run now is worth a wait for
+// weights: it may have run elsewhere, so that it cannot be refused any more, and a server
+// that is otherwise allowed lacks only the weights. The caller holds s.mu.
+func (s *Scheduler) mayGetServer(req *Request) bool {
+	snapshot := s.holder.Current()
+	return req.MaxRetryWait > 0 && slices.ContainsFunc(snapshot.ServersOf(req.Service), func(server *catalog.Server) bool {
+		return s.allowed(server, req, snapshot)
+	})
+}
+
 // maxWait returns how long a request may wait for a slot from now on. The request
 // may wait until MaxWaitShare of the objective has passed since the arrival, or
 // for MaxRetryWait, whichever ends later. In both cases the wait ends at the
@@ -348,9 +357,7 @@
 	listed := snapshot.ServersOf(req.Service)
 	all := make([]Candidate, 0, len(listed))
 	for _, server := range listed {
-		region := s.cfg.Regions[server.DataCentre]
-		if server.Leaving || snapshot.DataCentresOut[server.DataCentre] || req.TriedServers[server.ID] ||
-			!catalog.RegionAllowed(req.RouteRegions, region) || !catalog.RegionAllowed(req.AccountRegions, region) {
+		if !s.allowed(server, req, snapshot) {
 			continue
 		}
 		version, ok := s.usableVersion(server, req, snapshot, now)
@@ -379,6 +386,14 @@
 	return all
 }
 
+// allowed reports whether a server may get a request, apart from the weights that the
+// server holds and from its load.
+func (s *Scheduler) allowed(server *catalog.Server, req *Request, snapshot *catalog.Snapshot) bool {
+	region := s.cfg.Regions[server.DataCentre]
+	return !server.Leaving && !snapshot.DataCentresOut[server.DataCentre] && !req.TriedServers[server.ID] &&
+		catalog.RegionAllowed(req.RouteRegions, region) && catalog.RegionAllowed(req.AccountRegions, region)
+}
+
 // usableVersion returns the version of the request's model that a server holds,
 // and whether the request may run on this server. For a plain service the version
 // is 0. The caller holds s.mu.
--- a/request/dispatch/scheduler_test.go
+++ b/request/dispatch/scheduler_test.go
@@ -127,6 +127,62 @@
 	})
 }
 
+// TestRequestWaitsForWeights guards against breaking off streams whose server ended or
+// loads weights while all other servers load weights.
+func TestRequestWaitsForWeights(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	type result struct {
+		slot Slot
+		err  error
+	}
+	// acquire acquires a slot for a request that may have run at "a", which loads weights
+	// like all others.
+	acquire := func(f *schedulerFixture, change func(*Request)) chan result {
+		for _, addr := range []string{"a", "b"} {
+			f.scheduler.SetAgentState(addr, &frame.AgentState{Loading: true})
+		}
+		req := f.request()
+		req.TriedServers["a"], req.MaxRetryWait, req.Deadline = true, time.Second, f.clock.Now().Add(5*time.Second)
+		change(req)
+		results := make(chan result, 1)
+		go func() {
+			slot, err := f.scheduler.Acquire(ctx, req)
+			results <- result{slot, err}
+		}()
+		return results
+	}
+
+	Convey("A request that may have run gets the first server that has loaded its weights", t, func() {
+		f := newSchedulerFixture()
+		results := acquire(f, func(*Request) {})
+		So(f.clock.BlockUntilContext(ctx, 1), ShouldBeNil)
+		f.clock.Advance(900 * time.Millisecond)
+		f.scheduler.SetAgentState("b", &frame.AgentState{LoadedVersions: map[string]int{"herbs": 2}})
+		r := <-results
+		So(r.err, ShouldBeNil)
+		So(r.slot.Server.ID, ShouldEqual, "b")
+	})
+
+	Convey("It waits for MaxRetryWait at most, and the error says that no server could run it", t, func() {
+		f := newSchedulerFixture()
+		results := acquire(f, func(*Request) {})
+		So(f.clock.BlockUntilContext(ctx, 1), ShouldBeNil)
+		f.clock.Advance(time.Second)
+		So(errors.Is((<-results).err, ErrNoServer), ShouldBeTrue)
+	})
+
+	Convey("A request that has not run, or has tried every server, does not wait", t, func() {
+		for _, change := range []func(*Request){
+			func(req *Request) { req.MaxRetryWait, req.FirstByteObjective = 0, time.Second },
+			func(req *Request) { req.TriedServers["b"] = true },
+			func(req *Request) { req.RouteRegions = []string{"west"} },
+		} {
+			So(errors.Is((<-acquire(newSchedulerFixture(), change)).err, ErrNoServer), ShouldBeTrue)
+		}
+	})
+}
+
 func TestSchedulerSkipsServers(t *testing.T) {
 	Convey("Servers that are leaving, in a data centre taken out of service, or in a region that is not allowed are skipped", t, func() {
 		f := newSchedulerFixture()
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -351,6 +351,32 @@
 	})
 }
 
+// TestStreamWaitsForWeights guards against breaking off a stream whose server ends while
+// all other servers load weights.
+func TestStreamWaitsForWeights(t *testing.T) {
+	Convey("A stream whose server ends continues at the first server that has loaded its weights", t, func() {
+		var f *handlerFixture
+		setWeights := func(s *fakeServer, loading bool) {
+			f.scheduler.SetAgentState(s.listener.Addr().String(), &frame.AgentState{
+				Loading: loading, LoadedVersions: map[string]int{"herbs": 1},
+			})
+		}
+		loading := newServer(t, "s2", func(r receivedRequest, _ int) string {
+			return streamHeader(r) + chunk(event(2)) + lastChunk
+		})
+		ending := newServer(t, "s1", func(r receivedRequest, _ int) string {
+			time.AfterFunc(200*time.Millisecond, func() { setWeights(loading, false) })
+			return streamHeader(r) + chunk(event(1)) + closeMarker
+		})
+		f = newFixture(t, nil, ending, loading)
+		setWeights(ending, false)
+		setWeights(loading, true)
+		o := f.send(t, http.MethodPost, "/resumable/", "prompt", testHeaders.Model, "herbs")
+		So(o.err, ShouldBeNil)
+		So(o.body, ShouldEqual, event(1)+event(2))
+	})
+}
+
 func TestEstimateWork(t *testing.T) {
 	estimate := func(tokens, answer string) float64 {
 		r := httptest.NewRequest(http.MethodPost, "/resumable/", nil)
