Limits of peers that are too old to matter are neither reported nor taken

Found by reading: checkRequestLimit bounded the age of a reported limit from below only. An age of over 2^63 ns overflows and puts the limit into the future, where no response of the server can change it; and a limit was sent on every new connection for as long as its server was listed, although it has no effect any more. The error quoted the ID of the server at any length. Ruled out: the same for suspect parts, whose ages and lengths are bounded. Change: a limit older than maxLimitAge, at which it has doubled beyond any meaning, is not reported and not accepted; IDs of servers are bounded. Before: TestLimitsOfPeers failed, the old limit was reported and each of the four invalid values was taken. After: go test -race ./request/dispatch passes.

--- a/request/dispatch/requestlimit.go
+++ b/request/dispatch/requestlimit.go
@@ -30,6 +30,10 @@
 	minAgingLimit = 0.25
 	// maxRequestLimit is the largest limit per second; a larger one is no limit.
 	maxRequestLimit = 1e6
+	// maxLimitAge is the age at which every limit has doubled beyond maxRequestLimit.
+	maxLimitAge = 6 * time.Minute
+	// maxServerIDLength is the longest ID of a server in a peer's report, in bytes.
+	maxServerIDLength = 128
 )
 
 var eventRequestLimit = eventlog.Define(548, "server-limit", logrus.InfoLevel,
@@ -142,7 +146,7 @@
 func (s *Scheduler) changedLimits(since uint64, scope exchange.EvidenceScope, now time.Time) []frame.RequestLimit {
 	var changed []frame.RequestLimit
 	for id, st := range s.servers {
-		if l := &st.requestLimit; l.lastChange(scope) > since {
+		if l := &st.requestLimit; l.lastChange(scope) > since && now.Sub(l.namedAt) <= maxLimitAge {
 			changed = append(changed, frame.RequestLimit{
 				Server: id, Boot: l.boot, Limited: l.limited, PerSecond: l.perSecond, AgeMs: now.Sub(l.namedAt).Milliseconds(),
 			})
@@ -172,10 +176,12 @@
 // a peer has reported.
 func checkRequestLimit(l frame.RequestLimit) error {
 	switch {
+	case l.Server == "" || len(l.Server) > maxServerIDLength:
+		return errors.Errorf("ID of a server with a limit has %d bytes, allowed are 1 to %d", len(l.Server), maxServerIDLength)
 	case !(l.PerSecond >= 0 && l.PerSecond <= maxRequestLimit):
 		return errors.Errorf("limit of server %q is %v requests per second, allowed are 0 to %v", l.Server, l.PerSecond, maxRequestLimit)
-	case l.AgeMs < 0:
-		return errors.Errorf("limit of server %q was named %d ms ago", l.Server, l.AgeMs)
+	case l.AgeMs < 0 || l.AgeMs > maxLimitAge.Milliseconds():
+		return errors.Errorf("limit of server %q was named %d ms ago, allowed are 0 to %d", l.Server, l.AgeMs, maxLimitAge.Milliseconds())
 	}
 	return nil
 }
--- a/request/dispatch/requestlimit_test.go
+++ b/request/dispatch/requestlimit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,6 +77,12 @@
 			previous = rate
 		}
 	})
+	Convey("No limit holds at maxLimitAge", t, func() {
+		var l requestLimit
+		l.update("a@1", true, 0, now)
+		_, limited := l.rate("a@1", now.Add(maxLimitAge))
+		So(limited, ShouldBeFalse)
+	})
 	Convey("A limit that goes on is reported again only after limitRefresh", t, func() {
 		var l requestLimit
 		changed, _ := l.update("a@1", true, 2.5, now)
@@ -112,6 +119,11 @@
 			So(f.scheduler.MergeEvidence(report, true), ShouldBeNil)
 			So(f.acquiredIn(4*time.Second), ShouldBeGreaterThan, 20)
 		})
+		Convey("a limit that has no effect any more is not reported", func() {
+			f.clock.Advance(maxLimitAge + time.Millisecond)
+			report, _ = other.Evidence(0, exchange.ObservedAnywhere)
+			So(report.Empty(), ShouldBeTrue)
+		})
 		Convey("a limit of a server that is not listed, or of another boot, is ignored", func() {
 			for _, change := range []func(*frame.RequestLimit){
 				func(l *frame.RequestLimit) { l.Server = "unknown" },
@@ -130,6 +142,10 @@
 				func(l *frame.RequestLimit) { l.PerSecond = math.NaN() },
 				func(l *frame.RequestLimit) { l.PerSecond = math.Inf(1) },
 				func(l *frame.RequestLimit) { l.AgeMs = -1 },
+				func(l *frame.RequestLimit) { l.AgeMs = maxLimitAge.Milliseconds() + 1 },
+				func(l *frame.RequestLimit) { l.AgeMs = math.MaxInt64 },
+				func(l *frame.RequestLimit) { l.Server = "" },
+				func(l *frame.RequestLimit) { l.Server = strings.Repeat("a", maxServerIDLength+1) },
 			} {
 				changed := report
 				changed.RequestLimits = append([]frame.RequestLimit(nil), report.RequestLimits...)
