Failing test: 120 requests reach a server with eight slots at once

Failed try, in a scratch copy: where entry instances are more than slots, rank and time decide who sends one request per 240 ms. It got 21; the ranks of one data centre lie side by side, so all or none of them have their turn. No code changes.

--- a/request/dispatch/scheduler_test.go
+++ b/request/dispatch/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,6 +128,48 @@
 	})
 }
 
+// TestManyEntryInstancesAtOneServer guards against a queue at a server that becomes ready
+// before the entry instances hear of the requests that the others send there.
+func TestManyEntryInstancesAtOneServer(t *testing.T) {
+	const (
+		perDataCentre, dataCentreCount = 12, 5
+		step, reportDelay              = 10 * time.Millisecond, 100 * time.Millisecond
+	)
+	Convey("Entry instances of five data centres that see one server get few more slots than it has", t, func() {
+		f := newSchedulerFixture()
+		server := f.server("a", "palermo")
+		server.Slots = 8
+		f.setServers(server)
+		var all []*Scheduler
+		for i := range perDataCentre * dataCentreCount {
+			cfg := f.scheduler.cfg
+			if i >= perDataCentre {
+				cfg.DataCentre = "catania"
+			}
+			s := NewScheduler(cfg, f.holder, f.clock)
+			s.SetEntryInstances(perDataCentre*dataCentreCount, i)
+			for peer := range perDataCentre - 1 {
+				s.UpdatePeerLoads(fmt.Sprint("peer ", peer), exchange.LoadReport{InstanceCount: 1})
+			}
+			for other := range dataCentreCount - 1 {
+				s.UpdatePeerLoads(fmt.Sprint("data centre ", other), exchange.LoadReport{InstanceCount: perDataCentre, Remote: true})
+			}
+			all = append(all, s)
+		}
+		count := 0
+		for waited := time.Duration(0); waited < reportDelay; waited += step {
+			for _, s := range all {
+				if _, err := s.Acquire(t.Context(), f.request()); err == nil {
+					count++
+				}
+			}
+			f.clock.Advance(step)
+		}
+		So(count, ShouldBeLessThanOrEqualTo, 2*(server.Slots+maxServerQueueLength))
+		So(count, ShouldBeGreaterThan, 0)
+	})
+}
+
 // TestRequestWaitsForWeights guards against breaking off streams whose server ended or
 // loads weights while all other servers load weights.
 func TestRequestWaitsForWeights(t *testing.T) {
