BUDGET: a report of suspect parts costs no search through all servers for each end

Found by reading: MergeEvidence looked up whether a server has responded since its reported end by building the boot of every listed server, once for each end, under the scheduler's lock. Ruled out: expire and convict, which depend on the number of parts alone. Change: the times of the last responses are collected once for a report. What is decided does not change.

--- a/request/dispatch/evidence.go
+++ b/request/dispatch/evidence.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/go-faster/errors"
 
 	"github.com/rattanway/rattanway/connection/exchange"
@@ -75,7 +77,9 @@
 		o = observedNear
 	}
 	now := s.clock.Now()
-	quarantined, errParts := s.quarantine.merge(e.SuspectParts, o, s.respondedSince, now)
+	lastResponses := s.lastResponses()
+	goesOn := func(boot string, endedAt time.Time) bool { return lastResponses[boot].After(endedAt) }
+	quarantined, errParts := s.quarantine.merge(e.SuspectParts, o, goesOn, now)
 	s.afterConviction(quarantined)
 	return errors.Join(errParts, s.mergeLimits(e.RequestLimits, o, now))
 }
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -44,16 +44,16 @@
 	}
 }
 
-// respondedSince reports whether a boot of a server has sent something to this entry
-// instance later than at. The caller holds s.mu.
-func (s *Scheduler) respondedSince(boot string, at time.Time) bool {
+// lastResponses returns when the listed boots of servers last sent something to this
+// entry instance, without those that have not. The caller holds s.mu.
+func (s *Scheduler) lastResponses() map[string]time.Time {
+	times := map[string]time.Time{}
 	for _, server := range s.holder.Current().Servers {
-		if server.Boot() == boot {
-			st := s.servers[server.ID]
-			return st != nil && st.lastResponseAt.After(at)
+		if st := s.servers[server.ID]; st != nil && !st.lastResponseAt.IsZero() {
+			times[server.Boot()] = st.lastResponseAt
 		}
 	}
-	return false
+	return times
 }
 
 // afterConviction logs that parts are quarantined, and refuses the waiting requests
