--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -22,6 +22,7 @@
 	"github.com/rattanway/rattanway/process/httpserver"
 	"github.com/rattanway/rattanway/request/dispatch"
 	"github.com/rattanway/rattanway/request/forward"
+	"github.com/rattanway/rattanway/request/partarchive"
 	"github.com/rattanway/rattanway/version/catalog"
 )
 
@@ -55,6 +56,7 @@
 	declaredFollower *catalog.Follower
 	serversFollower  *catalog.Follower
 	scheduler        *dispatch.Scheduler
+	partArchive      *partarchive.Archive
 	connPool         *backend.Pool
 	exchange         *exchange.Exchange
 	fleetHub         *fleet.Hub
@@ -102,7 +104,11 @@
 		WeightsDueAfter: weightsDueAfter(&s) - weightsMargin,
 		MaxWaitShare:    maxWaitShare,
 		Log:             log,
+		OnPartChange:    func(part frame.SuspectPart) { e.partArchive.Save(part) },
 	}, e.catalogHolder, clock)
+	e.partArchive = partarchive.New(partarchive.Config{
+		Store: e.store, Restore: e.scheduler.RestoreParts, MaxEndAge: dispatch.MaxEndAge, Log: log, Clock: clock,
+	})
 	e.fleetHub = fleet.NewHub(fleet.HubConfig{
 		DataCentre: s.DataCentre, Holder: e.catalogHolder, OnAgentState: e.scheduler.SetAgentState,
 		KnownEntries: func() ([]frame.EntryAddr, <-chan struct{}) { return e.exchange.KnownEntries() }, Log: log, Clock: clock,
@@ -168,6 +174,7 @@
 	addRunner(&g, e.serversFollower.Run)
 	addRunner(&g, e.connPool.Run)
 	addRunner(&g, e.scheduler.Run)
+	addRunner(&g, e.partArchive.Run)
 	addRunner(&g, e.exchange.Run)
 	addRunner(&g, e.announceAddress)
 	addRunner(&g, e.removeUnlistedServers)
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -18,7 +18,7 @@
 	// quarantineTime is how long a part stays quarantined after the last end under it.
 	// One more end renews the quarantine for as long as endMemory keeps the earlier ones.
 	quarantineTime = 2 * time.Minute
-	endMemory      = 10 * time.Minute
+	endMemory      = MaxEndAge
 	// soundMemory is how long a part is known to have run, at least.
 	soundMemory = time.Minute
 	// maxSuspectParts, maxEndsOfPart and maxSoundParts limit the memory.
@@ -27,6 +27,9 @@
 	maxSoundParts   = 4096
 )
 
+// MaxEndAge is the age from which the end of a server no longer counts for a part.
+const MaxEndAge = 10 * time.Minute
+
 // PromptPart is a part of a prompt that several requests may have.
 type PromptPart struct {
 	// ID identifies the part together with the model.
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -47,6 +47,10 @@
 	// Log receives an event when a prompt part is quarantined or released; nil discards
 	// the events.
 	Log *eventlog.Logger
+	// OnPartChange receives the state of each prompt part that has been quarantined or
+	// released because of what this entry instance observed; nil ignores it. It must not
+	// block.
+	OnPartChange func(frame.SuspectPart)
 }
 
 // maxServerQueueLength is the maximum number of requests in a server's own queue.
@@ -134,6 +138,9 @@
 	if cfg.Log == nil {
 		cfg.Log = eventlog.Discard()
 	}
+	if cfg.OnPartChange == nil {
+		cfg.OnPartChange = func(frame.SuspectPart) {}
+	}
 	changes := &changeCounter{}
 	return &Scheduler{
 		cfg: cfg, changes: changes, quarantine: NewPartQuarantine(changes), holder: holder, clock: clock,
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -39,8 +39,10 @@
 func (s *Scheduler) RecordSound(parts []PromptPart) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, part := range s.quarantine.RecordSound(parts, s.clock.Now()) {
+	now := s.clock.Now()
+	for _, part := range s.quarantine.RecordSound(parts, now) {
 		s.cfg.Log.Event(eventPartReleased, eventlog.Fields{"part": part})
+		s.cfg.OnPartChange(s.quarantine.parts[part].report(part, now))
 	}
 }
 
@@ -56,6 +58,11 @@
 	return times
 }
 
+// RestoreParts adds prompt parts that were quarantined before this process started.
+func (s *Scheduler) RestoreParts(parts []frame.SuspectPart) error {
+	return s.MergeEvidence(frame.Evidence{SuspectParts: parts}, false)
+}
+
 // afterConviction logs that parts are quarantined, and refuses the waiting requests
 // that have them. The caller holds s.mu.
 func (s *Scheduler) afterConviction(parts []string) {
@@ -64,7 +71,11 @@
 	}
 	now := s.clock.Now()
 	for _, part := range parts {
-		s.cfg.Log.Event(eventPartQuarantined, eventlog.Fields{"part": part, "ends": s.quarantine.parts[part].countEnds(now)})
+		p := s.quarantine.parts[part]
+		s.cfg.Log.Event(eventPartQuarantined, eventlog.Fields{"part": part, "ends": p.countEnds(now)})
+		if p.observedHere() {
+			s.cfg.OnPartChange(p.report(part, now))
+		}
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
 		_, held := s.quarantine.Holds(w.request.PromptParts, now)
@@ -83,18 +94,28 @@
 		if p.lastChange(scope) <= since {
 			continue
 		}
-		part := frame.SuspectPart{ID: id, Position: p.position, KnownSound: p.knownSound}
-		for _, e := range p.ends {
-			if now.Sub(e.at) >= endMemory {
-				continue
-			}
-			part.Ends = append(part.Ends, frame.PartEnd{Boot: e.boot, AgeMs: now.Sub(e.at).Milliseconds(), Refuted: e.refuted})
-		}
-		changed = append(changed, part)
+		changed = append(changed, p.report(id, now))
 	}
 	return changed
 }
 
+// report returns the state of the part with the given ID for others.
+func (p *suspectPart) report(id string, now time.Time) frame.SuspectPart {
+	part := frame.SuspectPart{ID: id, Position: p.position, KnownSound: p.knownSound}
+	for _, e := range p.ends {
+		if now.Sub(e.at) >= endMemory {
+			continue
+		}
+		part.Ends = append(part.Ends, frame.PartEnd{Boot: e.boot, AgeMs: now.Sub(e.at).Milliseconds(), Refuted: e.refuted})
+	}
+	return part
+}
+
+// observedHere reports whether this entry instance observed an end under the part.
+func (p *suspectPart) observedHere() bool {
+	return slices.ContainsFunc(p.ends, func(e partEnd) bool { return e.observer == observedHere })
+}
+
 // merge adds what o reports. Invalid parts and ends, and ends that goesOn refutes, are
 // left out. It returns the parts that are quarantined from now on.
 func (q *PartQuarantine) merge(parts []frame.SuspectPart, o observer, goesOn func(string, time.Time) bool, now time.Time) ([]string, error) {
--- /dev/null
+++ b/request/partarchive/archive.go
@@ -0,0 +1,273 @@
+// Package partarchive keeps in the platform's store which prompt parts are quarantined,
+// so that entry instances that have all been restarted at once know them.
+package partarchive
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanway/rattanway/connection/frame"
+	"github.com/rattanway/rattanway/core"
+	"github.com/rattanway/rattanway/process/eventlog"
+	"github.com/rattanway/rattanway/version/catalog"
+)
+
+const (
+	// retryPause is the pause after a failed call of the store.
+	retryPause = 500 * time.Millisecond
+	// maxParts limits the parts that wait to be written, and those that are restored.
+	maxParts = 256
+	// maxRemovals is the largest number of rows that one call removes.
+	maxRemovals = 100
+	// maxKeyBytes is the length of the longest key of a row.
+	maxKeyBytes = 200
+)
+
+var (
+	eventRestored = eventlog.Define(549, "parts-restored", logrus.InfoLevel,
+		"This entry instance has read from the store which prompt parts were quarantined before it started; the fields give their number and that of the outdated rows, which it removes. If the line has an error, the call failed and is tried again.")
+	eventSaved = eventlog.Define(550, "part-saved", logrus.InfoLevel,
+		"This entry instance has written to the store that a prompt part is quarantined, or removed it there. If the line has an error, the call failed and is tried again.")
+	eventRowRejected = eventlog.Define(551, "part-row-rejected", logrus.WarnLevel,
+		"A row of the store about a quarantined prompt part cannot be decoded or holds invalid values; it is not used.")
+	eventNotSaved = eventlog.Define(552, "part-not-saved", logrus.WarnLevel,
+		"A quarantined prompt part is not written to the store, because its ID is too long or too many others wait.")
+)
+
+// Store is the part of the platform's store that an [Archive] uses.
+type Store interface {
+	// List returns all rows of a table and the store's revision.
+	List(ctx context.Context, t catalog.Table) ([]catalog.Row, uint64, error)
+	// Put writes a row.
+	Put(ctx context.Context, t catalog.Table, key string, value []byte) error
+	// Remove removes rows.
+	Remove(ctx context.Context, t catalog.Table, keys []string) error
+}
+
+// Config holds the settings and dependencies of an [Archive].
+type Config struct {
+	// Store holds the rows.
+	Store Store
+	// Restore adds the parts that were quarantined. The error names what is invalid; the
+	// valid parts are added nevertheless.
+	Restore func([]frame.SuspectPart) error
+	// MaxEndAge is the age from which the end of a server no longer matters.
+	MaxEndAge time.Duration
+	// Log receives the events.
+	Log *eventlog.Logger
+	// Clock is the time source.
+	Clock clockwork.Clock
+}
+
+// Archive writes the quarantined parts to the store and restores them after a start. It
+// is safe for concurrent use.
+type Archive struct {
+	cfg Config
+	// restored is true once the parts have been restored, and written holds when this
+	// process wrote each part that is still in the store. Only Run uses them.
+	restored bool
+	written  map[string]time.Time
+
+	mu sync.Mutex
+	// pending holds the parts that must be written, by ID.
+	pending map[string]frame.SuspectPart
+	// wake receives a value when pending is no longer empty.
+	wake chan struct{}
+}
+
+// row is the content of a row of the store.
+type row struct {
+	Part frame.SuspectPart `cbor:"1,keyasint"`
+	// SavedUnixMs is when the row was written, by the clock of the writer. The clocks of
+	// machines differ by seconds, which matters little against MaxEndAge.
+	SavedUnixMs int64 `cbor:"2,keyasint"`
+}
+
+// New returns an Archive; Run restores the parts and writes them.
+func New(cfg Config) *Archive {
+	return &Archive{cfg: cfg, pending: map[string]frame.SuspectPart{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+}
+
+// Save makes Run write the state of a part that has been quarantined or released. It
+// does not block.
+func (a *Archive) Save(part frame.SuspectPart) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.addPending(part)
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// addPending makes a part pending, unless that would exceed a limit. The caller holds
+// a.mu.
+func (a *Archive) addPending(part frame.SuspectPart) {
+	if _, known := a.pending[part.ID]; len(part.ID) > maxKeyBytes || !known && len(a.pending) >= maxParts {
+		a.cfg.Log.Event(eventNotSaved, eventlog.Fields{"part": part.ID[:min(len(part.ID), maxKeyBytes)], "pending": len(a.pending)})
+		return
+	}
+	a.pending[part.ID] = part
+}
+
+// Run restores the parts from the store and then writes those given to Save, until ctx
+// ends. It tries failed calls again.
+func (a *Archive) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		var wait <-chan time.Time
+		if !a.step(ctx) {
+			wait = a.cfg.Clock.After(retryPause)
+		}
+		select {
+		case <-ctx.Done():
+		case <-wait:
+		case <-a.wake:
+		}
+	}
+	return nil
+}
+
+// step makes the calls that are due, and returns whether all succeeded. After a failed
+// call it makes no other.
+func (a *Archive) step(ctx context.Context) bool {
+	if !a.restored {
+		err := a.restore(ctx)
+		if err != nil {
+			a.cfg.Log.EventWithError(eventRestored, err, eventlog.Fields{})
+			return false
+		}
+		a.restored = true
+	}
+	for part, ok := a.takePending(); ok; part, ok = a.takePending() {
+		if err := a.write(ctx, part); err != nil {
+			a.cfg.Log.EventWithError(eventSaved, err, eventlog.Fields{"part": part.ID})
+			a.putBack(part)
+			return false
+		}
+	}
+	return true
+}
+
+// takePending removes one of the parts that must be written and returns it, or false if
+// there are none.
+func (a *Archive) takePending() (frame.SuspectPart, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, part := range a.pending {
+		delete(a.pending, id)
+		return part, true
+	}
+	return frame.SuspectPart{}, false
+}
+
+// putBack makes a part pending again, unless Save has got a newer state of it.
+func (a *Archive) putBack(part frame.SuspectPart) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, newer := a.pending[part.ID]; !newer {
+		a.addPending(part)
+	}
+}
+
+// write writes the row of a part, or removes it if all ends under the part are refuted.
+// It also removes the rows of this process that no longer matter.
+func (a *Archive) write(ctx context.Context, part frame.SuspectPart) error {
+	now := a.cfg.Clock.Now()
+	suspect := slices.ContainsFunc(part.Ends, func(e frame.PartEnd) bool { return !e.Refuted })
+	var outdated []string
+	for id, at := range a.written {
+		if id != part.ID && now.Sub(at) >= a.cfg.MaxEndAge {
+			outdated = append(outdated, id)
+		}
+	}
+	if !suspect {
+		outdated = append(outdated, part.ID)
+	}
+	if err := a.remove(ctx, outdated); err != nil || !suspect {
+		return err
+	}
+	value, err := cbor.Marshal(row{Part: part, SavedUnixMs: now.UnixMilli()})
+	if err == nil {
+		err = a.cfg.Store.Put(ctx, catalog.TableQuarantine, part.ID, value)
+	}
+	if err != nil {
+		return core.WrapStep("save prompt part", part.ID, err)
+	}
+	a.written[part.ID] = now
+	a.cfg.Log.Event(eventSaved, eventlog.Fields{"part": part.ID, "ends": len(part.Ends)})
+	return nil
+}
+
+// remove removes the rows of parts.
+func (a *Archive) remove(ctx context.Context, ids []string) error {
+	for chunk := range slices.Chunk(ids, maxRemovals) {
+		if err := a.cfg.Store.Remove(ctx, catalog.TableQuarantine, chunk); err != nil {
+			return core.WrapStep("remove prompt parts", "", err)
+		}
+		for _, id := range chunk {
+			delete(a.written, id)
+			a.cfg.Log.Event(eventSaved, eventlog.Fields{"part": id, "removed": true})
+		}
+	}
+	return nil
+}
+
+// restore reads the rows, adds the parts that still matter, and removes the other rows.
+func (a *Archive) restore(ctx context.Context) error {
+	rows, _, err := a.cfg.Store.List(ctx, catalog.TableQuarantine)
+	if err != nil {
+		return err
+	}
+	parts, outdated := a.selectParts(rows)
+	if err := a.cfg.Restore(parts); err != nil {
+		a.cfg.Log.EventWithError(eventRowRejected, err, eventlog.Fields{})
+	}
+	a.cfg.Log.Event(eventRestored, eventlog.Fields{"parts": len(parts), "outdated": len(outdated)})
+	if err := a.remove(ctx, outdated); err != nil {
+		// Another entry instance removes them after its start.
+		a.cfg.Log.EventWithError(eventSaved, err, eventlog.Fields{"removed": len(outdated)})
+	}
+	return nil
+}
+
+// selectParts returns the parts in the rows that still matter, at most maxParts of them
+// and the latest ones first, with the present ages of their ends, and the keys of the
+// other rows.
+func (a *Archive) selectParts(rows []catalog.Row) (parts []frame.SuspectPart, outdated []string) {
+	now := a.cfg.Clock.Now()
+	var current []row
+	for _, stored := range rows {
+		var r row
+		if err := cbor.Unmarshal(stored.Value, &r); err != nil || r.Part.ID != stored.Key {
+			a.cfg.Log.EventWithError(eventRowRejected, err, eventlog.Fields{"key": stored.Key})
+			outdated = append(outdated, stored.Key)
+			continue
+		}
+		passed := max(0, now.Sub(time.UnixMilli(r.SavedUnixMs)))
+		for i := range r.Part.Ends {
+			r.Part.Ends[i].AgeMs += passed.Milliseconds()
+		}
+		r.Part.Ends = slices.DeleteFunc(r.Part.Ends, func(e frame.PartEnd) bool { return e.AgeMs >= a.cfg.MaxEndAge.Milliseconds() })
+		if len(r.Part.Ends) == 0 {
+			outdated = append(outdated, stored.Key)
+			continue
+		}
+		current = append(current, r)
+	}
+	slices.SortStableFunc(current, func(x, y row) int { return cmp.Compare(y.SavedUnixMs, x.SavedUnixMs) })
+	for i, r := range current {
+		if i < maxParts {
+			parts = append(parts, r.Part)
+		} else {
+			outdated = append(outdated, r.Part.ID)
+		}
+	}
+	return parts, outdated
+}
--- a/version/catalog/source.go
+++ b/version/catalog/source.go
@@ -18,10 +18,12 @@
 	TableServers
 	// TableEntries holds the addresses of entry instances.
 	TableEntries
+	// TableQuarantine holds the prompt parts that are quarantined.
+	TableQuarantine
 )
 
 // Name returns the table's name for log lines.
-func (t Table) Name() string { return [...]string{"declared", "servers", "entries"}[t] }
+func (t Table) Name() string { return [...]string{"declared", "servers", "entries", "quarantine"}[t] }
 
 // Row is one row of a table.
 type Row struct {
