BUDGET: how many ends lie apart is reported, not only their times

Cause: ends less than 100 ms apart count once. Each report shifts the times of the ends by the time that it was on its way; when all entry instances have restarted, one after the other, 16 ends within 0.9 s seemed to lie within 0.2 s, two of them apart, so that requests with a known part were sent again. Change: a report says how many ends counted separately, at most as many as it has; that number holds until an end is refuted. The test plays four seeds instead of one. The test of two reports of one end takes that number from the first report, which otherwise says what the test wants to be unknown.

--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -112,6 +112,10 @@
 	KnownSound bool `cbor:"3,keyasint,omitempty"`
 	// Ends are the ends of servers under the part.
 	Ends []PartEnd `cbor:"4,keyasint"`
+	// Separate is the number of ends that are known to lie far enough apart to count
+	// separately. Their times are known less exactly to each entry instance that learns
+	// them from another one.
+	Separate int `cbor:"5,keyasint,omitempty"`
 }
 
 // PartEnd is the end of a server while a request with a prompt part was there.
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -60,6 +60,9 @@
 	knownSound bool
 	// ends are in ascending order of time.
 	ends []partEnd
+	// separate is the largest number of ends that counted separately since one was last
+	// refuted, here or at the entry instances that reported them.
+	separate int
 	// quarantined is true once the part has been quarantined, until a request with it
 	// runs or the quarantine ends.
 	quarantined bool
@@ -128,7 +131,7 @@
 		}
 		for i := range p.ends {
 			if !p.ends[i].refuted {
-				p.ends[i].refuted, p.ends[i].observer = true, observedHere
+				p.ends[i].refuted, p.ends[i].observer, p.separate = true, observedHere, 0
 				q.changes.mark(&p.changeMark, observedHere)
 			}
 		}
@@ -169,6 +172,9 @@
 	}
 	switch {
 	case i >= 0 && (end.refuted && !p.ends[i].refuted || end.refuted == p.ends[i].refuted && o > p.ends[i].observer):
+		if end.refuted != p.ends[i].refuted {
+			p.separate = 0
+		}
 		p.ends[i].refuted, p.ends[i].observer = end.refuted, o
 	case i >= 0 || q.explained(end.boot, part.ID, now):
 		return
@@ -211,6 +217,9 @@
 // the others, until no other part is suspect. It returns the parts that are quarantined
 // from now on.
 func (q *PartQuarantine) convict(now time.Time) []string {
+	for _, p := range q.parts {
+		p.separate = max(p.separate, p.countEnds(now))
+	}
 	var convicted []string
 	for worst := q.mostSuspect(now); worst != ""; worst = q.mostSuspect(now) {
 		q.parts[worst].quarantined = true
@@ -261,21 +270,25 @@
 }
 
 // countEnds returns the number of ends that are not refuted and are minEndSpacing
-// apart. It is 0 if the last one is quarantineTime ago.
+// apart. It is 0 if the last one is quarantineTime ago. As many of them as p.separate
+// count, even if they seem closer together.
 func (p *suspectPart) countEnds(now time.Time) int {
-	count := 0
+	all, spaced := 0, 0
 	var last time.Time
 	for _, e := range p.ends {
-		if e.refuted || now.Sub(e.at) >= endMemory || count > 0 && e.at.Sub(last) < minEndSpacing {
+		if e.refuted || now.Sub(e.at) >= endMemory {
 			continue
 		}
-		count++
-		last = e.at
+		all++
+		if spaced == 0 || e.at.Sub(last) >= minEndSpacing {
+			spaced++
+			last = e.at
+		}
 	}
 	if now.Sub(last) >= quarantineTime {
 		return 0
 	}
-	return count
+	return max(spaced, min(p.separate, all))
 }
 
 // lastEnd returns the time of the last end.
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -165,6 +165,7 @@
 	Convey("Of two reports of an end the earlier time counts, because reports are on their way for some time", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
 		late := reportAfter(now)
+		late[0].Separate = 0
 		for i := range late[0].Ends {
 			late[0].Ends[i].AgeMs = 0
 		}
@@ -173,6 +174,18 @@
 		_, _ = q.merge(reportAfter(now), observedNear, never, now)
 		So(held(q, now, "bad"), ShouldBeTrue)
 	})
+	Convey("Ends that lie apart for the entry instance that saw them count, even if their times are lost on the way, until one is refuted", t, func() {
+		q := NewPartQuarantine(&changeCounter{})
+		blurred := reportAfter(now)
+		for i := range blurred[0].Ends {
+			blurred[0].Ends[i].AgeMs = 0
+		}
+		_, _ = q.merge(blurred, observedNear, never, now)
+		So(held(q, now, "bad"), ShouldBeTrue)
+		blurred[0].Ends[0].Refuted = true
+		_, _ = q.merge(blurred, observedNear, never, now)
+		So(held(q, now, "bad"), ShouldBeFalse)
+	})
 	Convey("The end of a server that has responded since is not believed", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
 		_, _ = q.merge(reportAfter(now), observedNear, func(string, time.Time) bool { return true }, now)
@@ -192,6 +205,8 @@
 			func(p *frame.SuspectPart) { p.ID = "" },
 			func(p *frame.SuspectPart) { p.ID = strings.Repeat("x", maxPartIDLength+1) },
 			func(p *frame.SuspectPart) { p.Position = -1 },
+			func(p *frame.SuspectPart) { p.Separate = -1 },
+			func(p *frame.SuspectPart) { p.Separate = len(p.Ends) + 1 },
 			func(p *frame.SuspectPart) { p.Ends = make([]frame.PartEnd, maxEndsOfPart+1) },
 			func(p *frame.SuspectPart) { p.Ends = []frame.PartEnd{{Boot: "", AgeMs: 1}} },
 			func(p *frame.SuspectPart) { p.Ends = []frame.PartEnd{{Boot: "b", AgeMs: -1}} },
@@ -249,6 +264,7 @@
 		entryCount, dataCentres, serverCount = 59, 5, 60
 		contact                              = 5 * time.Second
 		badDuration, badPerSecond            = 8 * time.Second, 12
+		seedCount                            = 4
 	)
 	restartDataCentre := func(f *partFleet, dataCentre int) {
 		for i := dataCentre; i < entryCount; i += dataCentres {
@@ -275,10 +291,12 @@
 		},
 	} {
 		Convey("Given 59 entry instances in five data centres: "+name, t, func() {
-			f := newPartFleet(1, entryCount, dataCentres, serverCount)
-			replay(f)
-			f.run(contact, 0)
-			So(f.ignorantCount(), ShouldEqual, 0)
+			for seed := range uint64(seedCount) {
+				f := newPartFleet(seed, entryCount, dataCentres, serverCount)
+				replay(f)
+				f.run(contact, 0)
+				So(f.ignorantCount(), ShouldEqual, 0)
+			}
 		})
 	}
 }
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -108,6 +108,7 @@
 		}
 		part.Ends = append(part.Ends, frame.PartEnd{Boot: e.boot, AgeMs: now.Sub(e.at).Milliseconds(), Refuted: e.refuted})
 	}
+	part.Separate = min(p.separate, len(part.Ends))
 	return part
 }
 
@@ -132,10 +133,14 @@
 				q.addEnd(PromptPart{part.ID, part.Position}, end, part.KnownSound, o, now)
 			}
 		}
-		if p := q.parts[part.ID]; p != nil && !p.knownSound && q.knownSound(part.ID) {
+		p := q.parts[part.ID]
+		if p != nil && !p.knownSound && q.knownSound(part.ID) {
 			p.knownSound = true
 			q.changes.mark(&p.changeMark, observedHere)
 		}
+		if p != nil && part.Separate > p.separate && part.Separate <= len(p.ends) {
+			p.separate = part.Separate
+		}
 	}
 	return q.convict(now), invalid
 }
@@ -148,6 +153,8 @@
 		return errors.Errorf("ID of a prompt part has %d bytes, allowed are 1 to %d", len(part.ID), maxPartIDLength)
 	case part.Position < 0 || part.Position > maxPromptPosition:
 		return errors.Errorf("prompt part %q has position %d, allowed are 0 to %d", part.ID, part.Position, maxPromptPosition)
+	case part.Separate < 0 || part.Separate > len(part.Ends):
+		return errors.Errorf("prompt part %q has %d separate ends, allowed are 0 to %d", part.ID, part.Separate, len(part.Ends))
 	case len(part.Ends) > maxEndsOfPart:
 		return errors.Errorf("prompt part %q has %d ends, allowed are %d", part.ID, len(part.Ends), maxEndsOfPart)
 	}
