BUDGET: a sound part is released when another one explains the ends

Cause: a sound part that was at the first three ends by chance is as suspect as the part that ends servers, and the order of their IDs decides. Once quarantined it explained these ends, they were deleted for the real cause, and no request could clear the sound part for 2 min. Ruled out: the rows in the store (no process was restarted). Change: each end decides anew which parts are quarantined, by the most ends first; a part with two ends or more keeps those that another one explains. With one end more the real cause has more ends than the sound part, explains all of them, and the sound part is released (event 547).

--- a/request/dispatch/evidence.go
+++ b/request/dispatch/evidence.go
@@ -79,7 +79,7 @@
 	now := s.clock.Now()
 	lastResponses := s.lastResponses()
 	goesOn := func(boot string, endedAt time.Time) bool { return lastResponses[boot].After(endedAt) }
-	quarantined, errParts := s.quarantine.merge(e.SuspectParts, o, goesOn, now)
-	s.afterConviction(quarantined)
+	quarantined, released, errParts := s.quarantine.merge(e.SuspectParts, o, goesOn, now)
+	s.applyVerdict(quarantined, released)
 	return errors.Join(errParts, s.mergeLimits(e.RequestLimits, o, now))
 }
--- a/request/dispatch/partfleet_test.go
+++ b/request/dispatch/partfleet_test.go
@@ -211,7 +211,7 @@
 			f.messages = append(f.messages, m)
 			continue
 		}
-		if _, err := f.entries[m.to].quarantine.merge(m.report, m.o, never, f.now); err != nil {
+		if _, _, err := f.entries[m.to].quarantine.merge(m.report, m.o, never, f.now); err != nil {
 			panic(err)
 		}
 	}
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -21,6 +21,9 @@
 	endMemory      = MaxEndAge
 	// soundMemory is how long a part is known to have run, at least.
 	soundMemory = time.Minute
+	// minKeptEnds is the number of ends from which a part keeps those that another part
+	// explains: the other one may turn out to have been there by chance.
+	minKeptEnds = endsOfNewPart - 1
 	// maxSuspectParts, maxEndsOfPart and maxSoundParts limit the memory.
 	maxSuspectParts = 256
 	maxEndsOfPart   = 16
@@ -42,8 +45,9 @@
 // end the servers at which they run, and keeps requests with that part away from the
 // servers. A request may be the cause of a server's end if the server had just begun
 // to respond to it or had not begun. A part is suspect while no request with it has
-// run since. Of several suspect parts the one with the most ends is quarantined,
-// which explains these ends, so that they no longer count for the others.
+// run since. Of several suspect parts the one with the most ends is quarantined, which
+// explains these ends, so that they do not count for the others. This is decided anew
+// with each end: a part is released if another one turns out to explain its ends.
 type PartQuarantine struct {
 	parts map[string]*suspectPart
 	// sound and earlierSound hold the parts of requests that have run. sound is emptied
@@ -64,7 +68,7 @@
 	// refuted, here or at the entry instances that reported them.
 	separate int
 	// quarantined is true once the part has been quarantined, until a request with it
-	// runs or the quarantine ends.
+	// runs, another part explains the ends, or the quarantine ends.
 	quarantined bool
 	changeMark
 }
@@ -92,7 +96,7 @@
 		return "", false
 	}
 	for _, part := range parts {
-		if p := q.parts[part.ID]; p != nil && p.quarantined && p.suspect(now) {
+		if p := q.parts[part.ID]; p != nil && p.quarantined && p.suspect(nil, now) {
 			return part.ID, true
 		}
 	}
@@ -100,20 +104,14 @@
 }
 
 // RecordEnd records that a boot of a server ended at time at, with requests there
-// that have the parts and may be the cause. It returns the parts that are
-// quarantined from now on.
-func (q *PartQuarantine) RecordEnd(boot string, parts []PromptPart, at, now time.Time) []string {
+// that have the parts and may be the cause. It returns the parts that are quarantined
+// and released because of that.
+func (q *PartQuarantine) RecordEnd(boot string, parts []PromptPart, at, now time.Time) (quarantined, released []string) {
 	q.expire(now)
-	if _, held := q.Holds(parts, now); held {
-		parts = slices.DeleteFunc(slices.Clone(parts), func(part PromptPart) bool {
-			_, held := q.Holds([]PromptPart{part}, now)
-			return !held
-		})
-	}
 	for _, part := range parts {
 		q.addEnd(part, partEnd{boot: boot, at: at}, q.knownSound(part.ID), observedHere, now)
 	}
-	return q.convict(now)
+	return q.reassess(now)
 }
 
 // RecordSound records that a request with the parts has run and its server goes on.
@@ -146,13 +144,13 @@
 // knownSound reports whether a request with the part is known to have run.
 func (q *PartQuarantine) knownSound(id string) bool { return q.sound[id] || q.earlierSound[id] }
 
-// addEnd adds an end to a part, unless it is known or a quarantined part explains it.
-// An end that is known becomes refuted if the new one is. If a nearer observer reports
+// addEnd adds an end to a part, unless it is known. An end that a quarantined part
+// explains makes no other part suspect. An end that is known becomes refuted if the new one is. If a nearer observer reports
 // a known end, that is a change as well, because it decides who passes the end on.
 func (q *PartQuarantine) addEnd(part PromptPart, end partEnd, knownSound bool, o observer, now time.Time) {
 	p := q.parts[part.ID]
 	if p == nil {
-		if end.refuted || q.explained(end.boot, part.ID, now) {
+		if end.refuted || q.explained(end.boot) {
 			return
 		}
 		q.makeRoom()
@@ -176,7 +174,7 @@
 			p.separate = 0
 		}
 		p.ends[i].refuted, p.ends[i].observer = end.refuted, o
-	case i >= 0 || q.explained(end.boot, part.ID, now):
+	case i >= 0:
 		return
 	default:
 		end.observer = o
@@ -185,23 +183,12 @@
 		p.ends = p.ends[max(0, len(p.ends)-maxEndsOfPart):]
 	}
 	q.changes.mark(&p.changeMark, o)
-	p.quarantined = p.quarantined && p.suspect(now)
-}
-
-// indexOfEnd returns the index of the end of a boot; -1 if it is not known.
-func (p *suspectPart) indexOfEnd(boot string) int {
-	return slices.IndexFunc(p.ends, func(e partEnd) bool { return e.boot == boot })
 }
 
-// sortEnds puts the ends into ascending order of time.
-func (p *suspectPart) sortEnds() {
-	slices.SortFunc(p.ends, func(a, b partEnd) int { return a.at.Compare(b.at) })
-}
-
-// explained reports whether another part that is quarantined was at a boot that ended.
-func (q *PartQuarantine) explained(boot, except string, now time.Time) bool {
-	for id, p := range q.parts {
-		if id != except && p.quarantined && p.suspect(now) && p.endedUnder(boot) {
+// explained reports whether a boot ended under a part that is quarantined.
+func (q *PartQuarantine) explained(boot string) bool {
+	for _, p := range q.parts {
+		if p.quarantined && p.endedUnder(boot) {
 			return true
 		}
 	}
@@ -213,42 +200,67 @@
 	return slices.ContainsFunc(p.ends, func(e partEnd) bool { return e.boot == boot && !e.refuted })
 }
 
-// convict quarantines the most suspect part and removes the ends that it explains from
-// the others, until no other part is suspect. It returns the parts that are quarantined
-// from now on.
-func (q *PartQuarantine) convict(now time.Time) []string {
-	for _, p := range q.parts {
-		p.separate = max(p.separate, p.countEnds(now))
+// indexOfEnd returns the index of the end of a boot; -1 if it is not known.
+func (p *suspectPart) indexOfEnd(boot string) int {
+	return slices.IndexFunc(p.ends, func(e partEnd) bool { return e.boot == boot })
+}
+
+// sortEnds puts the ends into ascending order of time.
+func (p *suspectPart) sortEnds() {
+	slices.SortFunc(p.ends, func(a, b partEnd) int { return a.at.Compare(b.at) })
+}
+
+// reassess decides which parts are quarantined: the most suspect one, which explains
+// its ends, then the most suspect one by the remaining ends, and so on. It returns the
+// parts that are quarantined from now on, and those that are released because others
+// explain their ends.
+func (q *PartQuarantine) reassess(now time.Time) (quarantined, released []string) {
+	guilty, explained := map[string]bool{}, map[string]bool{}
+	for worst := q.mostSuspect(guilty, explained, now); worst != ""; worst = q.mostSuspect(guilty, explained, now) {
+		guilty[worst] = true
+		for _, e := range q.parts[worst].ends {
+			explained[e.boot] = explained[e.boot] || !e.refuted
+		}
 	}
-	var convicted []string
-	for worst := q.mostSuspect(now); worst != ""; worst = q.mostSuspect(now) {
-		q.parts[worst].quarantined = true
-		for id, p := range q.parts {
-			if id != worst && !p.quarantined {
-				p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool { return q.parts[worst].endedUnder(e.boot) })
-			}
+	for id, p := range q.parts {
+		switch {
+		case guilty[id] && !p.quarantined:
+			quarantined = append(quarantined, id)
+		case p.quarantined && !guilty[id] && p.suspect(nil, now):
+			released = append(released, id)
+		}
+		p.quarantined = guilty[id]
+		p.separate = max(p.separate, p.countEnds(nil, now))
+		if !guilty[id] && p.unrefutedCount() < minKeptEnds {
+			p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool { return !e.refuted && explained[e.boot] })
+			p.separate = min(p.separate, p.unrefutedCount())
 		}
-		convicted = append(convicted, worst)
 	}
-	return convicted
+	slices.Sort(quarantined)
+	slices.Sort(released)
+	return quarantined, released
 }
 
-// mostSuspect returns the most suspect part that is not quarantined; empty if there is
-// none.
-func (q *PartQuarantine) mostSuspect(now time.Time) string {
-	worst := ""
+// mostSuspect returns the most suspect part that is not in guilty, without the explained
+// ends; empty if there is none.
+func (q *PartQuarantine) mostSuspect(guilty, explained map[string]bool, now time.Time) string {
+	worst, worstCount := "", 0
 	for id, p := range q.parts {
-		if !p.quarantined && p.suspect(now) && (worst == "" || moreSuspect(id, p, worst, q.parts[worst], now)) {
-			worst = id
+		if guilty[id] || !p.suspect(explained, now) {
+			continue
+		}
+		count := p.countEnds(explained, now)
+		if worst == "" || moreSuspect(id, p, count, worst, q.parts[worst], worstCount) {
+			worst, worstCount = id, count
 		}
 	}
 	return worst
 }
 
-// moreSuspect orders suspect parts. All entry instances with the same ends have the
-// same order.
-func moreSuspect(idA string, a *suspectPart, idB string, b *suspectPart, now time.Time) bool {
-	switch countA, countB := a.countEnds(now), b.countEnds(now); {
+// moreSuspect orders suspect parts with the given numbers of ends. All entry instances
+// with the same ends have the same order.
+func moreSuspect(idA string, a *suspectPart, countA int, idB string, b *suspectPart, countB int) bool {
+	switch {
 	case a.knownSound != b.knownSound:
 		return b.knownSound
 	case countA != countB:
@@ -260,23 +272,26 @@
 }
 
 // suspect reports whether enough servers have ended under the part, the last one
-// within quarantineTime.
-func (p *suspectPart) suspect(now time.Time) bool {
+// within quarantineTime. The ends of the explained boots do not count.
+func (p *suspectPart) suspect(explained map[string]bool, now time.Time) bool {
 	needed := endsOfNewPart
 	if p.knownSound {
 		needed = endsOfSoundPart
 	}
-	return p.countEnds(now) >= needed
+	return p.countEnds(explained, now) >= needed
 }
 
-// countEnds returns the number of ends that are not refuted and are minEndSpacing
-// apart. It is 0 if the last one is quarantineTime ago. As many of them as p.separate
-// count, even if they seem closer together.
-func (p *suspectPart) countEnds(now time.Time) int {
-	all, spaced := 0, 0
+// countEnds returns the number of ends that are neither refuted nor explained and are
+// minEndSpacing apart. It is 0 if the last one is quarantineTime ago. While none is
+// explained, as many of them as p.separate count, even if they seem closer together.
+func (p *suspectPart) countEnds(explained map[string]bool, now time.Time) int {
+	all, spaced, separate := 0, 0, p.separate
 	var last time.Time
 	for _, e := range p.ends {
-		if e.refuted || now.Sub(e.at) >= endMemory {
+		if explained[e.boot] {
+			separate = 0
+		}
+		if e.refuted || explained[e.boot] || now.Sub(e.at) >= endMemory {
 			continue
 		}
 		all++
@@ -288,7 +303,7 @@
 	if now.Sub(last) >= quarantineTime {
 		return 0
 	}
-	return max(spaced, min(p.separate, all))
+	return max(spaced, min(separate, all))
 }
 
 // lastEnd returns the time of the last end.
@@ -323,3 +338,14 @@
 	}
 	delete(q.parts, oldest)
 }
+
+// unrefutedCount returns the number of ends that are not refuted.
+func (p *suspectPart) unrefutedCount() int {
+	count := 0
+	for _, e := range p.ends {
+		if !e.refuted {
+			count++
+		}
+	}
+	return count
+}
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -55,6 +55,22 @@
 		So(held(q, at, "bad"), ShouldBeTrue)
 		So(held(q, at, "first"), ShouldBeFalse)
 	})
+	Convey("A part that was at the same servers by chance is released once more servers have ended under the other one", t, func() {
+		q := NewPartQuarantine(&changeCounter{})
+		at := start
+		for i := range endsOfNewPart {
+			at = at.Add(minEndSpacing)
+			// Equally rare; the order of the IDs decides.
+			q.RecordEnd(fmt.Sprint("s", i), []PromptPart{{"a sound one", 1}, {"bad", 1}}, at, at)
+		}
+		So(held(q, at, "a sound one"), ShouldBeTrue)
+		at = at.Add(minEndSpacing)
+		quarantined, released := q.RecordEnd("next", []PromptPart{{"bad", 1}}, at, at)
+		So(quarantined, ShouldResemble, []string{"bad"})
+		So(released, ShouldResemble, []string{"a sound one"})
+		So(held(q, at, "a sound one"), ShouldBeFalse)
+		So(held(q, at, "bad"), ShouldBeTrue)
+	})
 	Convey("Servers that a fault of the platform ends together quarantine nothing", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
 		for i := range 20 {
@@ -123,16 +139,16 @@
 	now := start.Add(2 * time.Second)
 	Convey("An entry instance that has just started learns a quarantined part from one report", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
-		convicted, err := q.merge(reportAfter(now), observedNear, never, now)
+		convicted, _, err := q.merge(reportAfter(now), observedNear, never, now)
 		So(err, ShouldBeNil)
 		So(convicted, ShouldResemble, []string{"bad"})
 		So(held(q, now, "bad"), ShouldBeTrue)
 	})
 	Convey("A report is passed on once, and only as far as others do not get it directly", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
-		_, _ = q.merge(reportAfter(now), observedNear, never, now)
+		_, _, _ = q.merge(reportAfter(now), observedNear, never, now)
 		before := q.changes.count
-		_, _ = q.merge(reportAfter(now.Add(time.Second)), observedFar, never, now.Add(time.Second))
+		_, _, _ = q.merge(reportAfter(now.Add(time.Second)), observedFar, never, now.Add(time.Second))
 		So(q.changes.count, ShouldEqual, before)
 		So(q.changedSince(0, exchange.ObservedHere, now), ShouldBeEmpty)
 		So(q.changedSince(0, exchange.ObservedNear, now), ShouldHaveLength, 1)
@@ -143,23 +159,23 @@
 		later := start.Add(endMemory + time.Second)
 		at := endServers(q, later.Add(-time.Second), endsOfNewPart, "bad")
 		endServers(q, later, 1, "bad")
-		_, err := other.merge(q.changedSince(0, exchange.ObservedAnywhere, at.Add(time.Minute)), observedNear, never, at.Add(time.Minute))
+		_, _, err := other.merge(q.changedSince(0, exchange.ObservedAnywhere, at.Add(time.Minute)), observedNear, never, at.Add(time.Minute))
 		So(err, ShouldBeNil)
 		So(held(other, at.Add(time.Minute), "bad"), ShouldBeTrue)
 	})
 	Convey("A relay passes on what it heard from another data centre first and from its own later", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
-		_, _ = q.merge(reportAfter(now), observedFar, never, now)
+		_, _, _ = q.merge(reportAfter(now), observedFar, never, now)
 		So(q.changedSince(0, exchange.ObservedNear, now), ShouldBeEmpty)
-		_, _ = q.merge(reportAfter(now), observedNear, never, now)
+		_, _, _ = q.merge(reportAfter(now), observedNear, never, now)
 		So(q.changedSince(0, exchange.ObservedNear, now), ShouldHaveLength, 1)
 	})
 	Convey("An entry instance at which the part has run before tells the others", t, func() {
 		q, other := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
 		q.RecordSound(parts("bad"), start)
-		_, _ = q.merge(reportAfter(now), observedNear, never, now)
+		_, _, _ = q.merge(reportAfter(now), observedNear, never, now)
 		So(held(q, now, "bad"), ShouldBeFalse)
-		_, _ = other.merge(q.changedSince(0, exchange.ObservedHere, now), observedNear, never, now)
+		_, _, _ = other.merge(q.changedSince(0, exchange.ObservedHere, now), observedNear, never, now)
 		So(held(other, now, "bad"), ShouldBeFalse)
 	})
 	Convey("Of two reports of an end the earlier time counts, because reports are on their way for some time", t, func() {
@@ -169,9 +185,9 @@
 		for i := range late[0].Ends {
 			late[0].Ends[i].AgeMs = 0
 		}
-		_, _ = q.merge(late, observedNear, never, now)
+		_, _, _ = q.merge(late, observedNear, never, now)
 		So(held(q, now, "bad"), ShouldBeFalse)
-		_, _ = q.merge(reportAfter(now), observedNear, never, now)
+		_, _, _ = q.merge(reportAfter(now), observedNear, never, now)
 		So(held(q, now, "bad"), ShouldBeTrue)
 	})
 	Convey("Ends that lie apart for the entry instance that saw them count, even if their times are lost on the way, until one is refuted", t, func() {
@@ -180,23 +196,23 @@
 		for i := range blurred[0].Ends {
 			blurred[0].Ends[i].AgeMs = 0
 		}
-		_, _ = q.merge(blurred, observedNear, never, now)
+		_, _, _ = q.merge(blurred, observedNear, never, now)
 		So(held(q, now, "bad"), ShouldBeTrue)
 		blurred[0].Ends[0].Refuted = true
-		_, _ = q.merge(blurred, observedNear, never, now)
+		_, _, _ = q.merge(blurred, observedNear, never, now)
 		So(held(q, now, "bad"), ShouldBeFalse)
 	})
 	Convey("The end of a server that has responded since is not believed", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
-		_, _ = q.merge(reportAfter(now), observedNear, func(string, time.Time) bool { return true }, now)
+		_, _, _ = q.merge(reportAfter(now), observedNear, func(string, time.Time) bool { return true }, now)
 		So(held(q, now, "bad"), ShouldBeFalse)
 	})
 	Convey("A request that ran elsewhere releases the part here", t, func() {
 		q, other := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
-		_, _ = q.merge(reportAfter(now), observedNear, never, now)
-		_, _ = other.merge(reportAfter(now), observedNear, never, now)
+		_, _, _ = q.merge(reportAfter(now), observedNear, never, now)
+		_, _, _ = other.merge(reportAfter(now), observedNear, never, now)
 		other.RecordSound(parts("bad"), now)
-		_, _ = q.merge(other.changedSince(0, exchange.ObservedHere, now), observedNear, never, now)
+		_, _, _ = q.merge(other.changedSince(0, exchange.ObservedHere, now), observedNear, never, now)
 		So(held(q, now, "bad"), ShouldBeFalse)
 	})
 	Convey("Invalid parts are rejected with the value, and valid ones of the same report are used", t, func() {
@@ -216,7 +232,7 @@
 			invalid.ID = "other"
 			change(&invalid)
 			q := NewPartQuarantine(&changeCounter{})
-			_, err := q.merge([]frame.SuspectPart{invalid, valid}, observedNear, never, now)
+			_, _, err := q.merge([]frame.SuspectPart{invalid, valid}, observedNear, never, now)
 			So(err, ShouldNotBeNil)
 			So(q.parts, ShouldHaveLength, 1)
 			So(held(q, now, "bad"), ShouldBeTrue)
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -47,9 +47,9 @@
 	// Log receives an event when a prompt part is quarantined or released; nil discards
 	// the events.
 	Log *eventlog.Logger
-	// OnPartChange receives the state of each prompt part that has been quarantined or
-	// released because of what this entry instance observed; nil ignores it. It must not
-	// block.
+	// OnPartChange receives each prompt part that has been quarantined or released and
+	// under which this entry instance saw a server end or run on; one that has been
+	// released has no ends. It must not block; nil ignores the parts.
 	OnPartChange func(frame.SuspectPart)
 }
 
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -16,7 +16,7 @@
 	eventPartQuarantined = eventlog.Define(546, "part-quarantined", logrus.WarnLevel,
 		"Servers ended one after the other under requests with one prompt part, and no request with the part has run since; requests with it are refused. The fields give the part and the number of ends.")
 	eventPartReleased = eventlog.Define(547, "part-released", logrus.WarnLevel,
-		"A request with a quarantined prompt part ran, and its server goes on; requests with the part are no longer refused.")
+		"Requests with a quarantined prompt part are no longer refused: one ran and its server goes on, or another part explains the ends of the servers.")
 )
 
 // Limits of what a peer may report.
@@ -31,7 +31,7 @@
 func (s *Scheduler) RecordServerEnd(boot string, parts []PromptPart, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.afterConviction(s.quarantine.RecordEnd(boot, parts, at, s.clock.Now()))
+	s.applyVerdict(s.quarantine.RecordEnd(boot, parts, at, s.clock.Now()))
 }
 
 // RecordSound records that a request with the given prompt parts has run and that its
@@ -39,11 +39,7 @@
 func (s *Scheduler) RecordSound(parts []PromptPart) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
-	for _, part := range s.quarantine.RecordSound(parts, now) {
-		s.cfg.Log.Event(eventPartReleased, eventlog.Fields{"part": part})
-		s.cfg.OnPartChange(s.quarantine.parts[part].report(part, now))
-	}
+	s.applyVerdict(nil, s.quarantine.RecordSound(parts, s.clock.Now()))
 }
 
 // lastResponses returns when the listed boots of servers last sent something to this
@@ -63,16 +59,22 @@
 	return s.MergeEvidence(frame.Evidence{SuspectParts: parts}, false)
 }
 
-// afterConviction logs that parts are quarantined, and refuses the waiting requests
-// that have them. The caller holds s.mu.
-func (s *Scheduler) afterConviction(parts []string) {
-	if len(parts) == 0 {
+// applyVerdict logs which parts are quarantined and released, and refuses the waiting
+// requests that have a quarantined part. The caller holds s.mu.
+func (s *Scheduler) applyVerdict(quarantined, released []string) {
+	for _, part := range released {
+		s.cfg.Log.Event(eventPartReleased, eventlog.Fields{"part": part})
+		if s.quarantine.parts[part].observedHere() {
+			s.cfg.OnPartChange(frame.SuspectPart{ID: part})
+		}
+	}
+	if len(quarantined) == 0 {
 		return
 	}
 	now := s.clock.Now()
-	for _, part := range parts {
+	for _, part := range quarantined {
 		p := s.quarantine.parts[part]
-		s.cfg.Log.Event(eventPartQuarantined, eventlog.Fields{"part": part, "ends": p.countEnds(now)})
+		s.cfg.Log.Event(eventPartQuarantined, eventlog.Fields{"part": part, "ends": p.countEnds(nil, now)})
 		if p.observedHere() {
 			s.cfg.OnPartChange(p.report(part, now))
 		}
@@ -118,10 +120,9 @@
 }
 
 // merge adds what o reports. Invalid parts and ends, and ends that goesOn refutes, are
-// left out. It returns the parts that are quarantined from now on.
-func (q *PartQuarantine) merge(parts []frame.SuspectPart, o observer, goesOn func(string, time.Time) bool, now time.Time) ([]string, error) {
+// left out. It returns the parts that are quarantined and released because of that.
+func (q *PartQuarantine) merge(parts []frame.SuspectPart, o observer, goesOn func(string, time.Time) bool, now time.Time) (quarantined, released []string, invalid error) {
 	q.expire(now)
-	var invalid error
 	for _, part := range parts[:min(len(parts), maxSuspectParts)] {
 		if err := checkSuspectPart(part); err != nil {
 			invalid = err
@@ -138,11 +139,12 @@
 			p.knownSound = true
 			q.changes.mark(&p.changeMark, observedHere)
 		}
-		if p != nil && part.Separate > p.separate && part.Separate <= len(p.ends) {
+		if p != nil && part.Separate > p.separate && part.Separate <= p.unrefutedCount() {
 			p.separate = part.Separate
 		}
 	}
-	return q.convict(now), invalid
+	quarantined, released = q.reassess(now)
+	return quarantined, released, invalid
 }
 
 // checkSuspectPart returns an error that names the first invalid value of a part that
