Entry instances share the slots of a server in demand by rank

Change: while a server with weights has been ready for less than 120 ms, or all servers were full just before, and there are fewer slots than entry instances, those with the lowest rank send one request each. The ranks rotate in 2 s; after 120 ms without a shortage more and more of them may send. The rank of the cold rate and of limits is the same one (shareRank); it now spreads the entry instances of one data centre.

--- a/request/dispatch/decisions_test.go
+++ b/request/dispatch/decisions_test.go
@@ -81,7 +81,7 @@
 			sendCount := 0
 			now := time.Now()
 			for i := range limiters {
-				rank := shareRank(fmt.Sprintf("server-%d", server), i, entryInstanceCount)
+				rank := shareRank(fmt.Sprintf("server-%d", server), rankPlace(i, entryInstanceCount))
 				for limiters[i].Allows(now, coldWindow, ratePerSecond, entryInstanceCount, rank) {
 					limiters[i].RecordSend(now, coldWindow)
 					sendCount++
--- a/request/dispatch/peerloads.go
+++ b/request/dispatch/peerloads.go
@@ -160,7 +160,7 @@
 func (s *Scheduler) SetEntryInstances(count, position int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listedInstanceCount, s.listedPosition = count, position
+	s.listedInstanceCount, s.listedPlace = count, rankPlace(position, count)
 }
 
 // RunningByServer returns the number of this entry instance's requests at each
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -26,6 +26,9 @@
 	// Limit is the maximum number of requests at the server; 0 if the server must
 	// not get a request now.
 	Limit int
+	// Deferred is true if the server has no free slot for this entry instance now,
+	// because others may have taken them; see [BurstLimiter].
+	Deferred bool
 	// Penalty is the number of requests that is added to the load because the
 	// server fails often.
 	Penalty float64
@@ -37,8 +40,12 @@
 	return (float64(c.Slot.RunningCount) + c.Penalty) * referenceLimit / float64(max(1, c.Limit))
 }
 
-// hasFreeSlot reports whether the server runs fewer requests than its limit.
-func (c *Candidate) hasFreeSlot() bool { return c.Slot.RunningCount < c.Limit }
+// hasFreeSlot reports whether the server runs fewer requests than its limit and may
+// get one from this entry instance.
+func (c *Candidate) hasFreeSlot() bool { return !c.Deferred && !c.full() }
+
+// full reports whether the server runs as many requests as its limit allows.
+func (c *Candidate) full() bool { return c.Slot.RunningCount >= c.Limit }
 
 // ChooseCandidate returns the index of a candidate with a free slot, or -1 if
 // there is none. It chooses the least loaded candidate in the own data centre,
--- a/request/dispatch/requestlimit.go
+++ b/request/dispatch/requestlimit.go
@@ -109,7 +109,7 @@
 // shareRankAt returns the rank of this entry instance at a server. The caller holds
 // s.mu.
 func (s *Scheduler) shareRankAt(server *catalog.Server) float64 {
-	return shareRank(server.ID, s.listedPosition, s.listedInstanceCount)
+	return shareRank(server.ID, s.listedPlace)
 }
 
 // RecordLimit records the limit of requests per second that a server names in a
--- a/request/dispatch/requestlimit_test.go
+++ b/request/dispatch/requestlimit_test.go
@@ -31,7 +31,7 @@
 					for tick := range seconds * 50 {
 						now := start.Add(time.Duration(tick) * 20 * time.Millisecond)
 						for i := range limiters {
-							rank := shareRank(fmt.Sprint("server-", server), i, count)
+							rank := shareRank(fmt.Sprint("server-", server), rankPlace(i, count))
 							if limiters[i].Allows(now, limitWindow(perSecond, count), perSecond, count, rank) {
 								limiters[i].RecordSend(now, maxLimitWindow)
 								sends = append(sends, now)
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -73,6 +73,8 @@
 	quarantine   *PartQuarantine
 	agents       map[string]agentReport  // by server address
 	retryBudgets map[string]*RetryBudget // by service name
+	// shortAt holds when all servers were last full for a request, by service name.
+	shortAt map[string]time.Time
 	// waiting is the queue, ordered by priority and then by arrival.
 	waiting []*waiter
 	// choiceCount is the number of choices of a server so far. Each choice begins its
@@ -87,8 +89,8 @@
 	// listedInstanceCount is the number of entry instances whose addresses are known,
 	// including this one.
 	listedInstanceCount int
-	// listedPosition is the position of this entry instance among these, from 0.
-	listedPosition int
+	// listedPlace is the place of this entry instance among these; see rankPlace.
+	listedPlace float64
 	// changes numbers the changes of what is reported to other entry instances.
 	changes *changeCounter
 }
@@ -101,6 +103,9 @@
 	burstLimiter    BurstLimiter
 	health          PassiveHealth
 	stallDetector   StallDetector
+	// seenWeights holds the weights of each model that the server held at the last search
+	// for a slot.
+	seenWeights map[string]seenWeights
 	// lastResponseAt is when the server last sent something; zero if it has not.
 	lastResponseAt time.Time
 	requestLimit   requestLimit
@@ -146,6 +151,7 @@
 		cfg: cfg, changes: changes, quarantine: NewPartQuarantine(changes), holder: holder, clock: clock,
 		servers: map[string]*serverState{}, peers: newPeerLoads(),
 		agents: map[string]agentReport{}, retryBudgets: map[string]*RetryBudget{},
+		shortAt: map[string]time.Time{},
 	}
 }
 
@@ -332,6 +338,7 @@
 		return Slot{}, ErrQuarantined
 	}
 	all := s.candidates(req)
+	s.recordShortage(req.Service, all, s.clock.Now())
 	if len(all) == 0 {
 		return Slot{}, ErrNoServer
 	}
@@ -381,7 +388,8 @@
 			Penalty: st.health.Penalty(),
 		}
 		blocked := st.health.InBackoff(now) || st.stallDetector.Stalled(now, st.runningCount, req.FirstByteObjective) ||
-			!s.limitAllows(st, server, now) || !st.burstLimiter.Allows(now, limit-c.Slot.RunningCount, s.peers.activeCount(remote))
+			!s.limitAllows(st, server, now)
+		c.Deferred = !s.burstAllows(st, server, req, version, limit-c.Slot.RunningCount, now)
 		if service != nil && service.ColdRequestsPerSecond > 0 && server.Cold(now) {
 			blocked = blocked || !st.coldRateLimiter.Allows(now, coldWindow, service.ColdRequestsPerSecond, s.knownEntryInstanceCount(), s.shareRankAt(server))
 		}
