--- a/request/dispatch/demand.go
+++ b/request/dispatch/demand.go
@@ -6,14 +6,9 @@
 	"github.com/rattanway/rattanway/version/catalog"
 )
 
-const (
-	// demandMemory is the time after which a server is in demand no longer, unless it is
-	// known to be so again.
-	demandMemory = 5 * demandWindow
-	// shortageMargin is how much earlier a version of the weights becomes mandatory while
-	// all servers are full. Requests then wait at the servers, and begin that much later.
-	shortageMargin = 600 * time.Millisecond
-)
+// demandMemory is the time after which a server is in demand no longer, unless it is
+// known to be so again.
+const demandMemory = 5 * demandWindow
 
 // seenWeights is a version of the weights that a server holds.
 type seenWeights struct {
@@ -43,26 +38,10 @@
 		return demandMemory
 	}
 	age := min(demandMemory, now.Sub(st.weightsSince(req.Model, version, now)))
-	return min(age, s.shortageAge(req.Service, now))
-}
-
-// shortageAge returns the time since all servers of a service were full when a request
-// here needed one, at most demandMemory. The caller holds s.mu.
-func (s *Scheduler) shortageAge(service string, now time.Time) time.Duration {
-	shortAt, ok := s.shortAt[service]
-	if !ok {
-		return demandMemory
-	}
-	return min(demandMemory, now.Sub(shortAt))
-}
-
-// weightsDueAfter returns the time from the declaration of a version of the weights until
-// it becomes mandatory for requests of a service. The caller holds s.mu.
-func (s *Scheduler) weightsDueAfter(service string, now time.Time) time.Duration {
-	if s.shortageAge(service, now) < demandMemory {
-		return s.cfg.WeightsDueAfter - shortageMargin
+	if shortAt, ok := s.shortAt[req.Service]; ok {
+		age = min(age, now.Sub(shortAt))
 	}
-	return s.cfg.WeightsDueAfter
+	return age
 }
 
 // weightsSince returns since when a version of a model's weights is known to be at the
--- a/request/dispatch/demand_test.go
+++ b/request/dispatch/demand_test.go
@@ -10,7 +10,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/rattanway/rattanway/connection/exchange"
-	"github.com/rattanway/rattanway/version/catalog"
 )
 
 func TestShareRanks(t *testing.T) {
@@ -185,26 +184,3 @@
 		})
 	})
 }
-
-// TestWeightsDueDuringShortage guards against requests that wait at a server until the
-// weights there may no longer be used.
-func TestWeightsDueDuringShortage(t *testing.T) {
-	Convey("Shortly before newer weights are due, a server with older ones gets requests unless all servers were full just before", t, func() {
-		f := newSchedulerFixture()
-		f.setServers(f.server("a", "palermo"))
-		f.holder.Apply([]catalog.Change{{Weights: &catalog.Weights{Model: "herbs", Version: 2}}}, false, false, f.clock.Now())
-		f.clock.Advance(f.scheduler.cfg.WeightsDueAfter - shortageMargin)
-		var slots []Slot
-		for {
-			slot, err := f.scheduler.Acquire(t.Context(), f.request())
-			if err != nil {
-				break
-			}
-			slots = append(slots, slot)
-		}
-		So(slots, ShouldNotBeEmpty)
-		f.scheduler.Release(slots[0], Served)
-		_, err := f.acquire(f.request())
-		So(errors.Is(err, ErrNoServer), ShouldBeTrue)
-	})
-}
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -427,7 +427,7 @@
 	if version == 0 || req.Version != 0 && req.Version != version {
 		return 0, false
 	}
-	return version, version >= snapshot.Weights[req.Model].MinVersion(now, s.weightsDueAfter(req.Service, now))
+	return version, version >= snapshot.Weights[req.Model].MinVersion(now, s.cfg.WeightsDueAfter)
 }
 
 // stateOf returns the state of the server with the given ID, and creates the
