--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -145,8 +145,9 @@
 func (q *PartQuarantine) knownSound(id string) bool { return q.sound[id] || q.earlierSound[id] }
 
 // addEnd adds an end to a part, unless it is known. An end that a quarantined part
-// explains makes no other part suspect. An end that is known becomes refuted if the new one is. If a nearer observer reports
-// a known end, that is a change as well, because it decides who passes the end on.
+// explains makes no other part suspect. An end that is known becomes refuted if the new
+// one is. If a nearer observer reports a known end, that is a change as well, because it
+// decides who passes the end on.
 func (q *PartQuarantine) addEnd(part PromptPart, end partEnd, knownSound bool, o observer, now time.Time) {
 	p := q.parts[part.ID]
 	if p == nil {
