BUDGET: released parts are written to the store, not removed from it

Cause: a part that is released was to be removed from the store before anything else; if the store refused to remove rows, that was tried twice a second without end and no other part was written. And the ages of the ends stood still while a row waited for the store, so that a quarantine restored later lasted longer. Change: a released part is written as a row without ends, which is not restored; rows are removed only as clean-up, after MaxEndAge and after a start, and not again when that fails. The ages count from the time of Save. TestArchive: a released part while the store removes nothing (before: no step succeeds after it), ends that age while the store fails (before: 1 s instead of 61 s).

--- a/request/partarchive/archive.go
+++ b/request/partarchive/archive.go
@@ -34,9 +34,11 @@
 	eventRestored = eventlog.Define(549, "parts-restored", logrus.InfoLevel,
 		"This entry instance has read from the store which prompt parts were quarantined before it started; the fields give their number and that of the outdated rows, which it removes. If the line has an error, the call failed and is tried again.")
 	eventSaved = eventlog.Define(550, "part-saved", logrus.InfoLevel,
-		"This entry instance has written to the store that a prompt part is quarantined, or removed it there. If the line has an error, the call failed and is tried again.")
+		"This entry instance has written to the store that a prompt part is quarantined or, with 0 ends, released. If the line has an error, the call failed and is tried again.")
 	eventRowRejected = eventlog.Define(551, "part-row-rejected", logrus.WarnLevel,
 		"A row of the store about a quarantined prompt part cannot be decoded or holds invalid values; it is not used.")
+	eventRemoved = eventlog.Define(553, "part-rows-removed", logrus.InfoLevel,
+		"This entry instance has removed outdated rows about prompt parts from the store. If the line has an error, they stay until an entry instance starts.")
 	eventNotSaved = eventlog.Define(552, "part-not-saved", logrus.WarnLevel,
 		"A quarantined prompt part is not written to the store, because its ID is too long or too many others wait.")
 )
@@ -76,8 +78,8 @@
 	written  map[string]time.Time
 
 	mu sync.Mutex
-	// pending holds the parts that must be written, by ID.
-	pending map[string]frame.SuspectPart
+	// pending holds the rows that must be written, by the ID of the part.
+	pending map[string]row
 	// wake receives a value when pending is no longer empty.
 	wake chan struct{}
 }
@@ -85,36 +87,38 @@
 // row is the content of a row of the store.
 type row struct {
 	Part frame.SuspectPart `cbor:"1,keyasint"`
-	// SavedUnixMs is when the row was written, by the clock of the writer. The clocks of
-	// machines differ by seconds, which matters little against MaxEndAge.
+	// SavedUnixMs is the time to which the ages of the ends refer, by the clock of the
+	// writer. The clocks of machines differ by seconds, which matters little against
+	// MaxEndAge.
 	SavedUnixMs int64 `cbor:"2,keyasint"`
 }
 
 // New returns an Archive; Run restores the parts and writes them.
 func New(cfg Config) *Archive {
-	return &Archive{cfg: cfg, pending: map[string]frame.SuspectPart{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	return &Archive{cfg: cfg, pending: map[string]row{}, written: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 }
 
-// Save makes Run write the state of a part that has been quarantined or released. It
-// does not block.
+// Save makes Run write the state of a part that has been quarantined or, if it has no
+// ends, released. It does not block.
 func (a *Archive) Save(part frame.SuspectPart) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.addPending(part)
+	a.addPending(row{Part: part, SavedUnixMs: a.cfg.Clock.Now().UnixMilli()})
 	select {
 	case a.wake <- struct{}{}:
 	default:
 	}
 }
 
-// addPending makes a part pending, unless that would exceed a limit. The caller holds
+// addPending makes a row pending, unless that would exceed a limit. The caller holds
 // a.mu.
-func (a *Archive) addPending(part frame.SuspectPart) {
-	if _, known := a.pending[part.ID]; len(part.ID) > maxKeyBytes || !known && len(a.pending) >= maxParts {
-		a.cfg.Log.Event(eventNotSaved, eventlog.Fields{"part": part.ID[:min(len(part.ID), maxKeyBytes)], "pending": len(a.pending)})
+func (a *Archive) addPending(r row) {
+	id := r.Part.ID
+	if _, known := a.pending[id]; len(id) > maxKeyBytes || !known && len(a.pending) >= maxParts {
+		a.cfg.Log.Event(eventNotSaved, eventlog.Fields{"part": id[:min(len(id), maxKeyBytes)], "pending": len(a.pending)})
 		return
 	}
-	a.pending[part.ID] = part
+	a.pending[id] = r
 }
 
 // Run restores the parts from the store and then writes those given to Save, until ctx
@@ -145,78 +149,75 @@
 		}
 		a.restored = true
 	}
-	for part, ok := a.takePending(); ok; part, ok = a.takePending() {
-		if err := a.write(ctx, part); err != nil {
-			a.cfg.Log.EventWithError(eventSaved, err, eventlog.Fields{"part": part.ID})
-			a.putBack(part)
+	for r, ok := a.takePending(); ok; r, ok = a.takePending() {
+		if err := a.write(ctx, r); err != nil {
+			a.cfg.Log.EventWithError(eventSaved, err, eventlog.Fields{"part": r.Part.ID})
+			a.putBack(r)
 			return false
 		}
 	}
+	a.removeOutdated(ctx)
 	return true
 }
 
-// takePending removes one of the parts that must be written and returns it, or false if
-// there are none.
-func (a *Archive) takePending() (frame.SuspectPart, bool) {
+// takePending removes one of the pending rows and returns it, or false if there are
+// none.
+func (a *Archive) takePending() (row, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for id, part := range a.pending {
+	for id, r := range a.pending {
 		delete(a.pending, id)
-		return part, true
+		return r, true
 	}
-	return frame.SuspectPart{}, false
+	return row{}, false
 }
 
-// putBack makes a part pending again, unless Save has got a newer state of it.
-func (a *Archive) putBack(part frame.SuspectPart) {
+// putBack makes a row pending again, unless Save has got a newer state of the part.
+func (a *Archive) putBack(r row) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, newer := a.pending[part.ID]; !newer {
-		a.addPending(part)
+	if _, newer := a.pending[r.Part.ID]; !newer {
+		a.addPending(r)
 	}
 }
 
-// write writes the row of a part, or removes it if all ends under the part are refuted.
-// It also removes the rows of this process that no longer matter.
-func (a *Archive) write(ctx context.Context, part frame.SuspectPart) error {
+// write writes a row.
+func (a *Archive) write(ctx context.Context, r row) error {
+	value, err := cbor.Marshal(r)
+	if err == nil {
+		err = a.cfg.Store.Put(ctx, catalog.TableQuarantine, r.Part.ID, value)
+	}
+	if err != nil {
+		return core.WrapStep("save prompt part", r.Part.ID, err)
+	}
+	a.written[r.Part.ID] = a.cfg.Clock.Now()
+	a.cfg.Log.Event(eventSaved, eventlog.Fields{"part": r.Part.ID, "ends": len(r.Part.Ends)})
+	return nil
+}
+
+// removeOutdated removes the rows that this process wrote MaxEndAge ago.
+func (a *Archive) removeOutdated(ctx context.Context) {
 	now := a.cfg.Clock.Now()
-	suspect := slices.ContainsFunc(part.Ends, func(e frame.PartEnd) bool { return !e.Refuted })
 	var outdated []string
 	for id, at := range a.written {
-		if id != part.ID && now.Sub(at) >= a.cfg.MaxEndAge {
+		if now.Sub(at) >= a.cfg.MaxEndAge {
 			outdated = append(outdated, id)
+			delete(a.written, id)
 		}
 	}
-	if !suspect {
-		outdated = append(outdated, part.ID)
-	}
-	if err := a.remove(ctx, outdated); err != nil || !suspect {
-		return err
-	}
-	value, err := cbor.Marshal(row{Part: part, SavedUnixMs: now.UnixMilli()})
-	if err == nil {
-		err = a.cfg.Store.Put(ctx, catalog.TableQuarantine, part.ID, value)
-	}
-	if err != nil {
-		return core.WrapStep("save prompt part", part.ID, err)
-	}
-	a.written[part.ID] = now
-	a.cfg.Log.Event(eventSaved, eventlog.Fields{"part": part.ID, "ends": len(part.Ends)})
-	return nil
+	a.remove(ctx, outdated)
 }
 
-// remove removes the rows of parts.
-func (a *Archive) remove(ctx context.Context, ids []string) error {
+// remove removes rows. Those that it cannot remove are removed after the next start of
+// an entry instance, because nobody needs them until then.
+func (a *Archive) remove(ctx context.Context, ids []string) {
 	for chunk := range slices.Chunk(ids, maxRemovals) {
 		if err := a.cfg.Store.Remove(ctx, catalog.TableQuarantine, chunk); err != nil {
-			return core.WrapStep("remove prompt parts", "", err)
-		}
-		for _, id := range chunk {
-			delete(a.written, id)
-			a.cfg.Log.Event(eventSaved, eventlog.Fields{"part": id, "removed": true})
+			a.cfg.Log.EventWithError(eventRemoved, err, eventlog.Fields{"rows": len(chunk)})
+			return
 		}
+		a.cfg.Log.Event(eventRemoved, eventlog.Fields{"rows": len(chunk)})
 	}
-	return nil
 }
 
 // restore reads the rows, adds the parts that still matter, and removes the other rows.
@@ -230,10 +231,7 @@
 		a.cfg.Log.EventWithError(eventRowRejected, err, eventlog.Fields{})
 	}
 	a.cfg.Log.Event(eventRestored, eventlog.Fields{"parts": len(parts), "outdated": len(outdated)})
-	if err := a.remove(ctx, outdated); err != nil {
-		// Another entry instance removes them after its start.
-		a.cfg.Log.EventWithError(eventSaved, err, eventlog.Fields{"removed": len(outdated)})
-	}
+	a.remove(ctx, outdated)
 	return nil
 }
 
--- a/request/partarchive/archive_test.go
+++ b/request/partarchive/archive_test.go
@@ -1,6 +1,7 @@
 package partarchive
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -22,10 +23,12 @@
 // maxEndAge is the setting MaxEndAge in the tests.
 const maxEndAge = 10 * time.Minute
 
-// fakeStore is a store in memory. While err is set, all calls fail.
+// fakeStore is a store in memory. While err is set, all calls fail, and while removeErr
+// is set, those of Remove.
 type fakeStore struct {
 	rows      map[string][]byte
 	err       error
+	removeErr error
 	callCount int
 }
 
@@ -48,10 +51,11 @@
 
 func (s *fakeStore) Remove(_ context.Context, _ catalog.Table, keys []string) error {
 	s.callCount++
-	if s.err == nil {
+	err := cmp.Or(s.err, s.removeErr)
+	if err == nil {
 		maps.DeleteFunc(s.rows, func(key string, _ []byte) bool { return slices.Contains(keys, key) })
 	}
-	return s.err
+	return err
 }
 
 // archiveFixture holds a store and the clock of the Archives over it.
@@ -117,15 +121,27 @@
 			So(f.rows, ShouldHaveLength, 1)
 		})
 
-		Convey("a part that has been released is removed", func() {
+		Convey("a part that has been released is not restored, even if the store removes no rows", func() {
+			f.removeErr = errors.New("not supported")
 			So(save(suspect("m/bad", 0)), ShouldBeTrue)
-			So(f.rows, ShouldHaveLength, 1)
-			released := suspect("m/bad", 0)
-			released.Ends[0].Refuted = true
-			So(save(released), ShouldBeTrue)
+			So(save(frame.SuspectPart{ID: "m/bad"}), ShouldBeTrue)
+			_, restored := f.start()
+			So(restored, ShouldBeEmpty)
+			f.removeErr = nil
+			f.start()
 			So(f.rows, ShouldBeEmpty)
 		})
 
+		Convey("an end grows older while the store fails", func() {
+			f.err = errors.New("down")
+			So(save(suspect("m/bad", time.Second)), ShouldBeFalse)
+			f.clock.Advance(time.Minute)
+			f.err = nil
+			So(a.step(t.Context()), ShouldBeTrue)
+			_, restored := f.start()
+			So(restored, ShouldResemble, []frame.SuspectPart{suspect("m/bad", time.Minute+time.Second)})
+		})
+
 		Convey("while the store fails, parts are kept, and the newest state of each is written afterwards", func() {
 			f.err = errors.New("down")
 			So(save(suspect("m/bad", 0)), ShouldBeFalse)
