--- a/request/dispatch/demand_test.go
+++ b/request/dispatch/demand_test.go
@@ -144,6 +144,36 @@
 	})
 }
 
+// TestLastPlaceAtAServer guards against a queue at a server that has one place left, while
+// the other servers are nearly full as well.
+func TestLastPlaceAtAServer(t *testing.T) {
+	Convey("Of twelve entry instances that see the last place of a server, few use it", t, func() {
+		const slots, count = 8, 12
+		f := newDemandFixture(slots, count)
+		for _, s := range f.all {
+			if slot, err := s.Acquire(t.Context(), f.request()); err == nil {
+				s.Release(slot, Served)
+			}
+		}
+		f.clock.Advance(demandMemory)
+		for i, s := range f.all {
+			for peer := range f.all {
+				if peer != i {
+					s.UpdatePeerLoads(fmt.Sprint(peer), exchange.LoadReport{InstanceCount: 1})
+				}
+			}
+			s.UpdatePeerLoads(fmt.Sprint((i+1)%count), exchange.LoadReport{RunningByServer: map[string]int{"a": slots}, InstanceCount: 1})
+		}
+		sent := 0
+		for _, s := range f.all {
+			if _, err := s.Acquire(t.Context(), f.request()); err == nil {
+				sent++
+			}
+		}
+		So(sent, ShouldBeBetweenOrEqual, 1, 2)
+	})
+}
+
 func TestServersThatAreNotInDemand(t *testing.T) {
 	Convey("Given 59 entry instances and a server in the data centre of 12 of them, with fewer slots", t, func() {
 		f := newSchedulerFixture()
