--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -22,9 +22,7 @@
 
 // clients sends requests at a steady rate to the entry instances in turn.
 type clients struct {
-	d *deployment
-	// prefix is the prefix of the paths; empty for routePrefix.
-	prefix  string
+	d       *deployment
 	mu      sync.Mutex
 	count   int
 	answers []answer
@@ -56,11 +54,7 @@
 
 func (c *clients) send(n int, p *process) {
 	a := answer{id: fmt.Sprintf("%016x", 0x9c41d07b00000000+uint64(n)), sentAt: time.Now()}
-	prefix := c.prefix
-	if prefix == "" {
-		prefix = routePrefix
-	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.clients+prefix+"2f", strings.NewReader(strings.Repeat("p", 400)))
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.clients+routePrefix+"2f", strings.NewReader(strings.Repeat("p", 400)))
 	if err != nil {
 		cannotRun("make a request", err)
 	}
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -71,9 +71,7 @@
 	servers        []*modelServer
 	manifest       int
 	storeListener  *silenceable
-	// secondRoute is true while the manifest has the second route.
-	secondRoute bool
-	stop        chan struct{}
+	stop           chan struct{}
 }
 
 // The zones and regions of the deployment.
@@ -83,10 +81,8 @@
 	serviceName = "xapu12a"
 	routeHost   = "jepu9.example"
 	routePrefix = "/lepu270/"
-	// secondPrefix is the prefix of a second route.
-	secondPrefix = "/ny95/"
-	apiKey       = "jnbanfqasnmgkcuyj8pj"
-	tenant       = "bozi300"
+	apiKey      = "jnbanfqasnmgkcuyj8pj"
+	tenant      = "bozi300"
 )
 
 func newDeployment(record *recorder) *deployment {
@@ -304,16 +300,10 @@
 // putManifest writes the next version of the manifest.
 func (d *deployment) putManifest() {
 	d.manifest += 2
-	route := func(name, prefix string) map[string]any {
-		return map[string]any{
-			"name": name, "host": routeHost, "prefix": prefix, "kind": "streaming", "timeoutMs": 6000, "targetLatencyMs": 400,
-			"priority": 1, "service": serviceName, "maxAttempts": 2, "allowAnonymous": false, "stickySessions": true, "resumable": true,
-			"gapTargetMs": 300, "allowedRegions": []string{},
-		}
-	}
-	routes := []any{route("r-js2eek2", routePrefix)}
-	if d.secondRoute {
-		routes = append(routes, route("r-2xp4zhp", secondPrefix))
+	route := map[string]any{
+		"name": "r-js2eek2", "host": routeHost, "prefix": routePrefix, "kind": "streaming", "timeoutMs": 6000, "targetLatencyMs": 400,
+		"priority": 1, "service": serviceName, "maxAttempts": 2, "allowAnonymous": false, "stickySessions": true, "resumable": true,
+		"gapTargetMs": 300, "allowedRegions": []string{},
 	}
 	engine := map[string]any{
 		"slots": 16, "kvCapacityTokens": 1640000, "kvTokenBytes": 163840, "linkMbps": 400000.0, "stride": 6,
@@ -323,7 +313,7 @@
 		"layers": layerCount, "layer_mb": 4540.0, "act_bytes": 16384, "chunks": chunkCount, "chunkBytes": chunkBytes,
 	}
 	d.store.put("op", "config", map[string]any{
-		"version": d.manifest, "routes": routes,
+		"version": d.manifest, "routes": []any{route},
 		"services": []any{
 			map[string]any{"name": serviceName, "healthCheck": "/healthz", "maxConnections": 234, "coldS": 3.0, "coldPerS": 28.0, "engine": engine},
 			map[string]any{"name": "kafi81c", "origin": d.originAddr, "zone": "surabaya-a", "linkMbps": 15.0, "maxConnections": 48},
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -35,6 +35,6 @@
 	"spoiled-manifest": spoiledManifest,
 	"paused-load":      pausedLoad,
 	"stale-seeds":      staleSeeds,
-	"silent-store":     silentStore,
+	"stale-weights":    staleWeights,
 	"many-versions":    manyVersions,
 }
--- a/review/stand/modelserver.go
+++ b/review/stand/modelserver.go
@@ -38,6 +38,12 @@
 	age     time.Duration
 }
 
+// begin is the begin of a request at a model server.
+type begin struct {
+	at      time.Time
+	version int
+}
+
 // modelServer is a stand-in for a model server that behaves as the pages say.
 type modelServer struct {
 	addr, zone, service string
@@ -59,6 +65,8 @@
 	busy     bool
 	active   sync.WaitGroup
 	running  int
+	// begun lists the requests that began.
+	begun []begin
 	// tokensFromBad counts the events made with weights that hold a bad piece.
 	tokensFromBad int
 	events        int
@@ -304,6 +312,7 @@
 	}
 	m.active.Add(1)
 	m.running++
+	m.begun = append(m.begun, begin{time.Now(), m.version})
 	version, bad, boot, server := m.version, m.bad, m.boot, m.id
 	m.mu.Unlock()
 	defer func() {
