Review, case 5: eight versions, 2 s apart, at the size of the site

Change: the case has four entry instances, nine model servers and the origin's 15 Mbit/s; eight versions are named 2 s apart, and the judged span begins 6 s after the last one. The stand-ins are in review/.stand, which internal/lint passes over like every folder with a dot.

--- a/review/stand/manyversions.go
+++ b/review/.stand/manyversions.go
@@ -7,20 +7,27 @@
 
 // The versions that are named while the machines recover.
 const (
-	namedCount    = 9
-	namedInterval = time.Second
+	namedCount    = 8
+	namedInterval = 2 * time.Second
+	// afterNaming is the time from the last version named to the judged span.
+	afterNaming = 6 * time.Second
+	// originLinkMbps is linkMbps of the origin.
+	originLinkMbps = 15
 )
 
 // manyVersions plays a final fault: all machines lose power right after a manifest was
 // acknowledged. With trouble, new weights are named several times while the machines
 // recover.
 func manyVersions(d *deployment, trouble bool) (bool, string) {
-	for _, zone := range []string{"bandung-a", "semarang-a", "surabaya-a"} {
-		d.addModelServer(zone, 1)
+	for range 3 {
+		for _, zone := range []string{"bandung-a", "semarang-a", "surabaya-a"} {
+			d.addModelServer(zone, 1)
+		}
 	}
+	d.origin.bytesPerSecond = originLinkMbps * 1e6 / 8
 	d.putManifest()
 	d.nameVersion(1)
-	d.startNodes("bandung-a", "semarang-a")
+	d.startNodes("bandung-a", "bandung-a", "semarang-a", "surabaya-a")
 	if !waitFor("ready", 10*time.Second, d.allReady) {
 		cannotRun("start", fmt.Errorf("the entry instances are not ready"))
 	}
@@ -46,13 +53,15 @@
 	d.launchAll()
 	back := time.Now()
 	d.record.add("the machines are back")
-	if trouble {
-		for i := range namedCount {
+	for i := range namedCount {
+		if trouble {
 			d.nameVersion(2 + i)
+		}
+		if i < namedCount-1 {
 			time.Sleep(namedInterval)
 		}
 	}
-	time.Sleep(time.Until(back.Add(recoveryTime)))
+	time.Sleep(max(afterNaming, time.Until(back.Add(recoveryTime))))
 	from := time.Now()
 	time.Sleep(judgedTime)
 	to := time.Now()
--- a/review/stand/origin.go
+++ b/review/.stand/origin.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // The weights have the sizes of the site file.
@@ -34,6 +35,10 @@
 	// manifests, pieces and spoiled count the answers since countAnew.
 	manifests, pieces, spoiled int
 	record                     *recorder
+	// bytesPerSecond is the bandwidth of the link, for all pieces together; 0 means that
+	// it is not limited. linkFreeAt is when the link has sent what it has taken.
+	bytesPerSecond float64
+	linkFreeAt     time.Time
 }
 
 func (o *origin) handler() http.Handler {
@@ -65,11 +70,28 @@
 		o.mu.Lock()
 		o.pieces++
 		o.mu.Unlock()
+		o.waitForLink(chunkBytes)
 		_, _ = w.Write(chunk(version, number))
 	})
 	return mux
 }
 
+// waitForLink waits until the link has sent n more bytes.
+func (o *origin) waitForLink(n int) {
+	o.mu.Lock()
+	if o.bytesPerSecond <= 0 {
+		o.mu.Unlock()
+		return
+	}
+	if now := time.Now(); o.linkFreeAt.Before(now) {
+		o.linkFreeAt = now
+	}
+	o.linkFreeAt = o.linkFreeAt.Add(time.Duration(float64(n) / o.bytesPerSecond * float64(time.Second)))
+	until := o.linkFreeAt
+	o.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // flipDigit changes the tenth hexadecimal digit.
 func flipDigit(digest string) string {
 	digit := byte('0')
