Weights are used only after their load is proven by chunks read after the acceptance

Cause: the agent verified the staged chunks before the order, and nothing limited the time until the server accepted it. A server that stands still accepts an order even after the agent has given it up. A verification older than 1 s is repeated before the order. Event 345 says if a chunk could not be read. Ruled out: a check before the order alone, which does not cover an order that waits.

--- a/version/loading/events.go
+++ b/version/loading/events.go
@@ -18,11 +18,13 @@
 	eventFailed = eventlog.Define(344, "load-failed", logrus.WarnLevel,
 		"A step of loading weights failed; the agent retries the step.")
 	eventCorrupt = eventlog.Define(345, "load-piece-rotten", logrus.WarnLevel,
-		"A staged chunk is missing or does not match its digest; the agent stages the chunk again.")
+		"A staged chunk is missing or does not match its digest, or it could not be read, which the error says; the agent stages the chunk again.")
 	eventFetched = eventlog.Define(347, "load-fetched", logrus.InfoLevel,
 		"The agent has the chunks of a version in its store; held is true if the agent copied the intact chunks from the server, which already holds the version.")
 	eventFetching = eventlog.Define(348, "load-fetching", logrus.InfoLevel,
 		"The agent starts to fetch a version; agents is the number of agents in its list, sources the number of those among which the chunks are divided.")
+	eventDisproved = eventlog.Define(349, "load-disproved", logrus.WarnLevel,
+		"The server may have loaded wrong chunks; the agent keeps the server out of use and has it load again.")
 	eventServerChanged = eventlog.Define(346, "load-server-changed", logrus.InfoLevel,
 		"The server beside the agent restarted or reports different weights than before.")
 )
--- a/version/loading/fetch.go
+++ b/version/loading/fetch.go
@@ -116,6 +116,14 @@
 	return WantedVersion{}, false
 }
 
+// isDeclared reports whether a version has been declared.
+func (l *Loader) isDeclared(k versionKey) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.declaredVersion(k)
+	return ok
+}
+
 // fetch puts the manifest and the chunks of a version into the store. If
 // heldByServer is true, it copies the chunks from the server.
 func (l *Loader) fetch(ctx context.Context, w WantedVersion, heldByServer bool) error {
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -81,6 +81,9 @@
 	// stagedVersions maps each model to the version whose chunks are all staged.
 	stagedVersions map[string]int
 	state          ServerState
+	proof          loadProof
+	// ordered is the version that the last load order named.
+	ordered versionKey
 	// serverStartUnixMs is the server's start time in the last report.
 	serverStartUnixMs int64
 	// hasReport is true once the server has sent a report.
@@ -99,6 +102,7 @@
 		declared: map[string]*declaredVersions{}, wake: make(chan struct{}, 1),
 		digests: map[versionKey][]core.Digest{}, digestLookups: map[versionKey]chan struct{}{},
 		fetched: map[versionKey]bool{}, fetching: map[versionKey]bool{}, stagedVersions: map[string]int{},
+		proof: newLoadProof(),
 	}
 }
 
@@ -138,8 +142,7 @@
 			l.logFailure("read report", versionKey{}, err)
 			l.publish(ServerState{})
 		} else {
-			l.recordReport(report)
-			pause = l.reconcile(ctx, report)
+			pause = l.reconcile(ctx, report, l.recordReport(report))
 		}
 		select {
 		case <-ctx.Done():
@@ -154,16 +157,38 @@
 	l.cfg.Log.EventWithError(eventFailed, err, eventlog.Fields{"step": step, "model": k.model, "version": k.version})
 }
 
-// reconcile carries out the due steps for all models. It returns the pause until
+// reconcile carries out the due steps for all models. usable is false if the weights of
+// the server may not be used unless its last load is proven. It returns the pause until
 // the next read of the server's report.
-func (l *Loader) reconcile(ctx context.Context, r Report) time.Duration {
+func (l *Loader) reconcile(ctx context.Context, r Report, usable bool) time.Duration {
+	held := r.Weights
+	if !usable {
+		proven, err := l.proveLoad(ctx, r)
+		switch {
+		case err != nil:
+			l.logFailure("prove load", l.lastOrdered(), err)
+			return retryPause
+		case proven:
+			l.recordReport(r)
+		case r.Busy:
+			return loadingPollInterval
+		default:
+			held = nil
+		}
+	}
 	pause := idlePollInterval
 	for model := range l.currentTarget().Wanted {
-		pause = min(pause, l.reconcileModel(ctx, model, r))
+		pause = min(pause, l.reconcileModel(ctx, model, r, held[model]))
 	}
 	return pause
 }
 
+func (l *Loader) lastOrdered() versionKey {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ordered
+}
+
 // DeclaredVersions returns every version whose declaration this agent has received.
 // Entry instances that restart obtain the declaration times from this list.
 func (l *Loader) DeclaredVersions() []WantedVersion {
@@ -182,9 +207,9 @@
 	return l.target
 }
 
-// reconcileModel carries out reconcile for one model.
-func (l *Loader) reconcileModel(ctx context.Context, model string, r Report) time.Duration {
-	heldVersion := r.Weights[model]
+// reconcileModel carries out reconcile for one model. heldVersion is the version that
+// the server may use; 0 means none.
+func (l *Loader) reconcileModel(ctx context.Context, model string, r Report, heldVersion int) time.Duration {
 	if wait := l.settleWait(); wait > 0 {
 		return wait
 	}
@@ -215,6 +240,13 @@
 			return min(idlePollInterval, wait)
 		}
 	}
+	if heldVersion == 0 && r.Weights[model] == w.Version {
+		if err := l.unload(ctx, w, r); err != nil {
+			l.logFailure("unload", versionKey{model, w.Version}, err)
+			return retryPause
+		}
+		return loadingPollInterval
+	}
 	if err := l.loadVersion(ctx, w, r); err != nil {
 		l.logFailure("load", versionKey{model, w.Version}, err)
 		return retryPause
--- a/version/loading/loader_test.go
+++ b/version/loading/loader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,12 +41,17 @@
 	onStage func(chunkNumber int, chunk []byte)
 	// onRead is called before a staged chunk is returned.
 	onRead func(chunkNumber int)
+	// onLoad, if not nil, is called before a load order is carried out. If it returns
+	// an error, the order gets no response.
+	onLoad func(version int) error
+	// busy is true while a load is in progress.
+	busy bool
 }
 
 func (f *fakeServer) Report(context.Context) (Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := Report{Weights: map[string]int{}, AcceptedOrderCount: f.acceptedOrders, StartUnixMs: f.startUnixMs}
+	r := Report{Weights: map[string]int{}, Busy: f.busy, AcceptedOrderCount: f.acceptedOrders, StartUnixMs: f.startUnixMs}
 	if f.heldVersion > 0 {
 		r.Weights[model] = f.heldVersion
 	}
@@ -70,17 +76,31 @@
 		f.onRead(chunkNumber)
 	}
 	if !ok {
-		return nil, errors.New("the chunk is not staged")
+		return nil, ErrNotStaged
 	}
 	return chunk, nil
 }
 
 func (f *fakeServer) Load(_ context.Context, _ string, version int, acceptedOrders int64) error {
+	if f.onLoad != nil {
+		if err := f.onLoad(version); err != nil {
+			return err
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.accept(version, acceptedOrders)
+}
+
+// accept carries out a load order. As model servers do, it changes nothing if the server
+// holds the version. The caller holds f.mu.
+func (f *fakeServer) accept(version int, acceptedOrders int64) error {
 	if acceptedOrders != f.acceptedOrders {
 		return errors.New("the number of accepted orders differs")
 	}
+	if f.heldVersion == version {
+		return nil
+	}
 	f.acceptedOrders++
 	f.heldVersion = version
 	f.loadedChunks = nil
@@ -90,6 +110,20 @@
 	return nil
 }
 
+func (f *fakeServer) Unload(_ context.Context, _ string, _ int, acceptedOrders int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if acceptedOrders != f.acceptedOrders {
+		return errors.New("the number of accepted orders differs")
+	}
+	f.acceptedOrders++
+	f.heldVersion, f.loadedChunks = 0, nil
+	return nil
+}
+
+// spoil makes a staged chunk wrong. The caller holds f.mu.
+func (f *fakeServer) spoil(chunkNumber int) { f.staged[chunkNumber] = []byte("rotten") }
+
 // holds reports whether the server holds a version.
 func (f *fakeServer) holds(version int) bool {
 	f.mu.Lock()
@@ -143,22 +177,73 @@
 	loader *Loader
 	server *fakeServer
 	self   spread.Peer
+	clock  *pausedClock
+
+	mu sync.Mutex
+	// published is the last published state. unproven lists the versions that were
+	// published as usable while the server held wrong chunks.
+	published ServerState
+	unproven  []int
+}
+
+// pausedClock is a clock that jumps ahead, as it does for a process that was paused.
+type pausedClock struct {
+	clockwork.Clock
+	ahead atomic.Int64
+}
+
+func (c *pausedClock) Now() time.Time { return c.Clock.Now().Add(time.Duration(c.ahead.Load())) }
+
+func (c *pausedClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// publish records what the Loader publishes.
+func (f *fixture) publish(s ServerState) {
+	version := s.Weights[model]
+	wrong := version > 0 && !s.Loading && f.server.holds(version) && !f.server.holdsExactly(version)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.published = s
+	if wrong {
+		f.unproven = append(f.unproven, version)
+	}
+}
+
+// serves reports whether the Loader has published that the server may be used with a
+// version, and the server holds exactly that version.
+func (f *fixture) serves(version int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.published.Loading && f.published.Weights[model] == version && f.server.holdsExactly(version)
+}
+
+// publishedWrong returns the versions that were published although the server held wrong
+// chunks.
+func (f *fixture) publishedWrong() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unproven
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, &fakeServer{staged: map[int][]byte{}, startUnixMs: 1})
+}
+
+// newFixtureWith is like newFixture with the given server.
+func newFixtureWith(t *testing.T, server *fakeServer) *fixture {
 	t.Helper()
 	f := &fixture{
-		server: &fakeServer{staged: map[int][]byte{}, startUnixMs: 1},
-		self:   spread.Peer{ID: "agent-1", Addr: "127.0.0.1:1", DataCentre: "palermo", Region: "palermo"},
+		server: server, clock: &pausedClock{Clock: clockwork.NewRealClock()},
+		self: spread.Peer{ID: "agent-1", Addr: "127.0.0.1:1", DataCentre: "palermo", Region: "palermo"},
 	}
-	clock := clockwork.NewRealClock()
+	clock := f.clock
 	originChunks := NewOriginChunks(fakeOrigin{})
 	swarm := spread.NewSwarm(spread.Config{
 		Self: f.self, Token: "test-token", ReadOriginOnce: true, Metrics: gometrics.NewRegistry(),
 	}, spread.NewMemStore(1<<20), originChunks, eventlog.Discard(), clock)
 	f.loader = New(Config{
 		Self: f.self.ID, Token: "test-token", Server: f.server, Origin: fakeOrigin{}, OriginChunks: originChunks, Swarm: swarm,
-		RollingUpdate: RollingUpdate{}, Publish: func(ServerState) {}, Client: http.DefaultClient, Log: eventlog.Discard(), Clock: clock,
+		RollingUpdate: RollingUpdate{}, Publish: f.publish, Client: http.DefaultClient, Log: eventlog.Discard(), Clock: clock,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/version/loading/loading.go
+++ b/version/loading/loading.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/rattanway/rattanway/core"
 	"github.com/rattanway/rattanway/version/spread"
 )
@@ -32,14 +34,20 @@
 	// Stage stores a chunk where the server loads weights from. The server does
 	// not verify the chunk.
 	Stage(ctx context.Context, model string, chunkNumber int, chunk []byte) error
-	// ReadStaged returns the bytes of a staged chunk.
+	// ReadStaged returns the bytes of a staged chunk, or ErrNotStaged.
 	ReadStaged(ctx context.Context, model string, chunkNumber int) ([]byte, error)
 	// Load orders the server to load the staged chunks. The server refuses the
 	// order unless acceptedOrders equals Report.AcceptedOrderCount, the number
 	// of orders that the server has accepted so far.
 	Load(ctx context.Context, model string, version int, acceptedOrders int64) error
+	// Unload orders the server to drop all layers of the version that it holds. A
+	// server does nothing on an order to load the version that it holds.
+	Unload(ctx context.Context, model string, version int, acceptedOrders int64) error
 }
 
+// ErrNotStaged is returned by Server.ReadStaged if no chunk is staged under the number.
+var ErrNotStaged = errors.New("chunk is not staged")
+
 // Origin is the remote store that holds the weights of every version.
 type Origin interface {
 	// Digests returns the digests of the chunks of a version, in the order of
--- a/version/loading/loadorder.go
+++ b/version/loading/loadorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -21,24 +22,81 @@
 	return l.awaitLoaded(ctx, versionKey{w.Model, w.Version})
 }
 
-// orderLoad verifies the staged chunks and orders the load. If the server holds
-// any weights, it first publishes that the server is about to load, so that entry
-// instances send no more requests to the server.
+const (
+	// maxVerificationAge is the time from the start of a verification of the staged
+	// chunks until the load order beyond which they are verified again. An older
+	// verification would likely lead to a load that must be repeated.
+	maxVerificationAge = time.Second
+	// maxVerifications is the maximum number of verifications before one order. A slow
+	// server must load in the end; the load is proven afterwards.
+	maxVerifications = 3
+)
+
+// orderLoad verifies the staged chunks, orders the load and proves that the server took
+// the right chunks. If the server holds any weights, it first publishes that the server
+// is about to load, so that entry instances send no more requests to the server.
 func (l *Loader) orderLoad(ctx context.Context, w WantedVersion, r Report) error {
+	verifiedAt := l.cfg.Clock.Now()
 	if err := l.verifyStaged(ctx, w); err != nil {
 		return err
 	}
 	if len(r.Weights) > 0 {
-		l.publish(ServerState{Weights: r.Weights, Loading: true})
+		l.publish(ServerState{Weights: l.usableWeights(), Loading: true})
 		l.cfg.Clock.Sleep(loadNoticeTime)
 	}
-	err := l.cfg.Server.Load(ctx, w.Model, w.Version, r.AcceptedOrderCount)
+	for n := 1; n < maxVerifications && l.cfg.Clock.Since(verifiedAt) > maxVerificationAge; n++ {
+		verifiedAt = l.cfg.Clock.Now()
+		if err := l.verifyStaged(ctx, w); err != nil {
+			return err
+		}
+	}
+	now, err := l.cfg.Server.Report(ctx)
 	if err != nil {
-		l.publish(ServerState{Weights: r.Weights})
+		return err
+	}
+	if stateOf(now) != stateOf(r) || now.Busy {
+		return errors.New("the server has restarted or accepted another order since the chunks were staged")
+	}
+	l.mu.Lock()
+	l.proof.observe(now)
+	l.ordered = versionKey{w.Model, w.Version}
+	l.mu.Unlock()
+	// If the order fails, the server may accept it later. The next report tells.
+	if err := l.cfg.Server.Load(ctx, w.Model, w.Version, now.AcceptedOrderCount); err != nil {
+		return err
+	}
+	return l.checkLoad(ctx)
+}
+
+// checkLoad proves the load that the server has just accepted. The server loads
+// meanwhile.
+func (l *Loader) checkLoad(ctx context.Context) error {
+	r, err := l.cfg.Server.Report(ctx)
+	if err != nil || l.recordReport(r) {
+		return err
+	}
+	proven, err := l.proveLoad(ctx, r)
+	if err == nil && !proven {
+		err = errors.New("the server may have loaded wrong chunks")
 	}
 	return err
 }
 
+// unload orders the server to drop a version that it must load again.
+func (l *Loader) unload(ctx context.Context, w WantedVersion, r Report) error {
+	if err := l.verifyStaged(ctx, w); err != nil {
+		return err
+	}
+	return l.cfg.Server.Unload(ctx, w.Model, w.Version, r.AcceptedOrderCount)
+}
+
+// usableWeights returns the weights that were published last.
+func (l *Loader) usableWeights() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Weights
+}
+
 // verifyStaged reads every staged chunk back. It stages a chunk again if the chunk
 // is missing or does not match its digest.
 func (l *Loader) verifyStaged(ctx context.Context, w WantedVersion) error {
@@ -50,12 +108,17 @@
 		if err == nil && d.Matches(chunk) {
 			continue
 		}
-		l.cfg.Log.Event(eventCorrupt, eventlog.Fields{"model": w.Model, "version": w.Version, "piece": i})
+		fields := eventlog.Fields{"model": w.Model, "version": w.Version, "piece": i}
+		if err != nil {
+			l.cfg.Log.EventWithError(eventCorrupt, err, fields)
+		} else {
+			l.cfg.Log.Event(eventCorrupt, fields)
+		}
 		body, ok := l.cfg.Swarm.Store().Get(d)
 		if !ok {
 			return l.markNotFetched(w, i)
 		}
-		if err := l.cfg.Server.Stage(ctx, w.Model, i, body); err != nil {
+		if err := l.stageChunk(ctx, w.Model, i, body); err != nil {
 			return err
 		}
 	}
--- a/version/loading/report.go
+++ b/version/loading/report.go
@@ -6,18 +6,26 @@
 	"github.com/rattanway/rattanway/process/eventlog"
 )
 
-// recordReport logs changes since the previous report and publishes the state.
-func (l *Loader) recordReport(r Report) {
+// recordReport logs changes since the previous report and publishes the state. It
+// reports whether the server's weights may be used; until then it publishes that the
+// server is loading.
+func (l *Loader) recordReport(r Report) bool {
 	l.mu.Lock()
 	restarted := l.hasReport && r.StartUnixMs != l.serverStartUnixMs
 	l.hasReport, l.serverStartUnixMs = true, r.StartUnixMs
-	loading := l.state.Loading
-	same := maps.Equal(l.state.Weights, r.Weights)
+	last := l.state
+	l.proof.observe(r)
+	usable := l.proof.usable(r)
 	l.mu.Unlock()
-	if restarted || !same {
+	if restarted || usable && !maps.Equal(last.Weights, r.Weights) {
 		l.cfg.Log.Event(eventServerChanged, eventlog.Fields{"weights": r.Weights, "startedAnew": restarted, "orders": r.AcceptedOrderCount})
 	}
-	l.publish(ServerState{Weights: r.Weights, Loading: loading && r.Busy})
+	if usable {
+		l.publish(ServerState{Weights: r.Weights, Loading: last.Loading && r.Busy})
+	} else {
+		l.publish(ServerState{Weights: last.Weights, Loading: true})
+	}
+	return usable
 }
 
 // publish stores the state s and, if it has changed, calls Config.Publish.
--- a/version/loading/stage.go
+++ b/version/loading/stage.go
@@ -23,7 +23,7 @@
 		if !ok {
 			return l.markNotFetched(w, i)
 		}
-		if err := l.cfg.Server.Stage(ctx, w.Model, i, chunk); err != nil {
+		if err := l.stageChunk(ctx, w.Model, i, chunk); err != nil {
 			return err
 		}
 	}
@@ -38,6 +38,14 @@
 	return nil
 }
 
+// stageChunk stages one chunk.
+func (l *Loader) stageChunk(ctx context.Context, model string, chunkNumber int, chunk []byte) error {
+	l.mu.Lock()
+	l.proof.stagedSince = true
+	l.mu.Unlock()
+	return l.cfg.Server.Stage(ctx, model, chunkNumber, chunk)
+}
+
 // markNotFetched causes a version to be fetched again because a chunk is missing
 // from the store. It returns an error that names the chunk.
 func (l *Loader) markNotFetched(w WantedVersion, chunkNumber int) error {
