Agents dial the seeds of a changed settings file

Cause: the agent read the changed file and dropped it; it has no other way to learn of entry instances. The watcher also read the file a second time at its start, so that a change between the two reads was lost in both roles. Change: agents dial changed seeds, with and without a signal; the watcher compares with the settings that the process has read; the event names changed fields that need a restart. An agent without a connection for 3 s logs event 145; metric fleet.connected-entries.

--- a/connection/fleet/entryconnections.go
+++ b/connection/fleet/entryconnections.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/core"
@@ -42,6 +45,8 @@
 	Log *eventlog.Logger
 	// Clock is the time source.
 	Clock clockwork.Clock
+	// Metrics receives the number of connected entry instances, if it is not nil.
+	Metrics gometrics.Registry
 }
 
 // EntryConnections holds an agent's connections to entry instances. It is safe for
@@ -66,13 +71,21 @@
 	// listSenders holds the addresses of the connected entry instances from which
 	// the agent requests the list of agents.
 	listSenders map[string]bool
+	// isolation tracks how long no entry instance has been connected.
+	isolation isolation
+	// connectedGauge is the metric of the number of connected entry instances.
+	connectedGauge gometrics.Gauge
 }
 
 // NewEntryConnections returns EntryConnections without connections; Run opens them.
 func NewEntryConnections(cfg EntryConnectionsConfig) *EntryConnections {
+	if cfg.Metrics == nil {
+		cfg.Metrics = gometrics.NewRegistry()
+	}
 	return &EntryConnections{
 		cfg: cfg, changed: make(chan struct{}), known: map[string]string{}, failingSince: map[string]time.Time{},
 		knownChanged: make(chan struct{}, 1), connected: map[string]string{},
+		connectedGauge: gometrics.GetOrRegisterGauge("fleet.connected-entries", cfg.Metrics),
 	}
 }
 
@@ -135,11 +148,10 @@
 func (c *EntryConnections) Run(ctx context.Context) error {
 	var connections sync.WaitGroup
 	defer connections.Wait()
-	for _, addr := range c.cfg.EntryAddrs {
-		c.addEntry(addr, "")
-	}
+	c.AddEntries(c.cfg.EntryAddrs)
 	cancels := map[string]context.CancelFunc{}
 	for {
+		c.reportIsolation()
 		chosen := c.chooseEntries()
 		for addr := range chosen {
 			if cancels[addr] == nil {
@@ -180,6 +192,27 @@
 	return chooseEntries(self.ID, self.DataCentre, c.known, failing)
 }
 
+// AddEntries adds the entry instances at addrs to those to which the agent connects.
+func (c *EntryConnections) AddEntries(addrs []string) {
+	for _, addr := range addrs {
+		c.addEntry(addr, "")
+	}
+}
+
+// reportIsolation updates the metric of the connected entry instances, and logs when
+// none has been connected for isolatedAfter and when that has ended.
+func (c *EntryConnections) reportIsolation() {
+	c.mu.Lock()
+	connected, known := len(c.connected), slices.Sorted(maps.Keys(c.known))
+	changed := c.isolation.update(c.cfg.Clock.Now(), connected)
+	isolated := c.isolation.reported
+	c.mu.Unlock()
+	c.connectedGauge.Update(int64(connected))
+	if changed {
+		c.cfg.Log.Event(eventIsolated, eventlog.Fields{"isolated": isolated, "entries": strings.Join(known, ",")})
+	}
+}
+
 // addEntry adds an entry instance to the known ones. dataCentre is empty if it is
 // unknown; a data centre that is already known is kept.
 func (c *EntryConnections) addEntry(addr, dataCentre string) {
--- a/connection/fleet/events.go
+++ b/connection/fleet/events.go
@@ -17,4 +17,6 @@
 		"This agent connected to an entry instance.")
 	eventEntryGone = eventlog.Define(144, "fleet-entry-gone", logrus.InfoLevel,
 		"The connection to an entry instance failed or ended; the agent dials the entry instance again.")
+	eventIsolated = eventlog.Define(145, "fleet-isolated", logrus.WarnLevel,
+		"This agent has had no connection to an entry instance for some seconds, so it learns of no new versions; entries lists the addresses that it dials. With isolated false it is connected again.")
 )
--- a/connection/fleet/fleet_test.go
+++ b/connection/fleet/fleet_test.go
@@ -166,6 +166,38 @@
 	})
 }
 
+// Guards against an agent that keeps dialling the entry instances of its first settings.
+func TestAddedEntriesAreDialled(t *testing.T) {
+	Convey("An agent connects to an entry instance that is added while none of its own can be reached", t, func() {
+		gone, e := newTestEntry(t), newTestEntry(t)
+		gone.server.CloseClientConnections()
+		gone.server.Close()
+		a := newTestAgent(t, "a", gone)
+		a.AddEntries([]string{e.server.Listener.Addr().String()})
+		So(wait.Until(func() bool {
+			_, ok := e.state("server-a")
+			return ok
+		}), ShouldBeTrue)
+	})
+}
+
+// Guards against an agent that is cut off and does not say so.
+func TestIsolation(t *testing.T) {
+	Convey("An isolation is reported once, after some seconds, and its end once", t, func() {
+		var i isolation
+		start := time.Now()
+		at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+		So(i.update(at(0), 0), ShouldBeFalse)
+		So(i.update(at(2.9), 0), ShouldBeFalse)
+		So(i.update(at(3), 0), ShouldBeTrue)
+		So(i.update(at(9), 0), ShouldBeFalse)
+		So(i.update(at(10), 1), ShouldBeTrue)
+		So(i.update(at(11), 1), ShouldBeFalse)
+		So(i.update(at(12), 0), ShouldBeFalse)
+		So(i.update(at(13), 1), ShouldBeFalse)
+	})
+}
+
 func TestChooseListSenders(t *testing.T) {
 	Convey("Given entry instances of three data centres", t, func() {
 		connected := map[string]string{
--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -116,6 +116,7 @@
 	a.entryConnections = fleet.NewEntryConnections(fleet.EntryConnectionsConfig{
 		Hello: frame.AgentHello{Instance: self, ServerAddr: s.ServerAddr}, Token: o.Token,
 		DeclaredVersions: a.declaredVersions, EntryAddrs: s.EntryAddrs, OnFleet: a.onFleet, Log: log, Clock: clock,
+		Metrics: a.metricsRegistry,
 	})
 	a.loader = loading.New(loading.Config{
 		Self: s.Name, Token: o.Token, Server: platform.NewModelServer(s.ServerAddr), Origin: origin, OriginChunks: originChunks,
@@ -145,10 +146,9 @@
 	if err := addMetrics(&g, a.settings.IP, o.MetricsPort, a.metricsRegistry); err != nil {
 		return err
 	}
-	watcher, err := newSettingsWatcher(o.SettingsPath, a.log, func(platform.Settings) {})
-	if err != nil {
-		return err
-	}
+	watcher := newSettingsWatcher(o.SettingsPath, a.settings, a.log, func(s platform.Settings) {
+		a.entryConnections.AddEntries(s.EntryAddrs)
+	})
 	addRunner(&g, watcher.Run)
 	addRunner(&g, a.entryConnections.Run)
 	addRunner(&g, a.loader.Run)
@@ -157,7 +157,7 @@
 		"role": core.RoleAgent, "addr": a.entryConnections.Self().Addr, "server": a.settings.ServerAddr,
 		"dataCentre": a.settings.DataCentre,
 	})
-	err = g.Run()
+	err := g.Run()
 	a.log.Event(eventStopped, eventlog.Fields{})
 	return err
 }
--- a/daemon/hosted/common.go
+++ b/daemon/hosted/common.go
@@ -6,13 +6,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
-	"github.com/rattanway/rattanway/core"
 	"github.com/rattanway/rattanway/platform"
 	"github.com/rattanway/rattanway/process/eventlog"
 )
@@ -37,7 +37,7 @@
 	eventStopped = eventlog.Define(622, "hosted-stopped", logrus.InfoLevel,
 		"The process exits; on entry instances, a field gives the number of requests that were still running. A line with an error precedes this if running requests had to be aborted.")
 	eventSettingsReloaded = eventlog.Define(623, "hosted-settings", logrus.InfoLevel,
-		"The settings file was read again; an invalid file is not applied.")
+		"The settings file was read again; an invalid file is not applied. needRestart names the changed settings that take effect at the next start.")
 	eventReady = eventlog.Define(624, "hosted-ready", logrus.InfoLevel,
 		"This entry instance started or stopped reporting that it is ready for new connections.")
 	eventEntries = eventlog.Define(625, "hosted-entries", logrus.InfoLevel,
@@ -100,14 +100,15 @@
 	log  *eventlog.Logger
 	// content is the content of the file at the last successful read.
 	content []byte
+	// current holds the settings that are in effect.
+	current platform.Settings
 	apply   func(platform.Settings)
 }
 
-// newSettingsWatcher returns a settingsWatcher of the file at path. It does not
-// apply the current content of the file, only later changes.
-func newSettingsWatcher(path string, log *eventlog.Logger, apply func(platform.Settings)) (*settingsWatcher, error) {
-	raw, err := os.ReadFile(path)
-	return &settingsWatcher{path: path, log: log, content: raw, apply: apply}, core.WrapStep("read settings", "", err)
+// newSettingsWatcher returns a settingsWatcher of the file at path. current holds the
+// settings that the process has read; the file may have changed since.
+func newSettingsWatcher(path string, current platform.Settings, log *eventlog.Logger, apply func(platform.Settings)) *settingsWatcher {
+	return &settingsWatcher{path: path, log: log, current: current, apply: apply}
 }
 
 // Run checks the file on SIGHUP and at each settingsPollInterval until ctx ends.
@@ -117,6 +118,7 @@
 	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
+	w.reload("start")
 	for {
 		select {
 		case <-ctx.Done():
@@ -137,18 +139,37 @@
 		w.log.EventWithError(eventSettingsReloaded, err, eventlog.Fields{"why": cause, "applied": false})
 		return
 	}
-	if bytes.Equal(raw, w.content) {
+	s := w.current
+	if !bytes.Equal(raw, w.content) {
+		w.content = raw
+		if s, err = platform.ReadSettings(w.path); err != nil {
+			w.log.EventWithError(eventSettingsReloaded, err, eventlog.Fields{"why": cause, "applied": false})
+			return
+		}
+	}
+	if reflect.DeepEqual(s, w.current) {
 		if cause == "signal" {
 			w.log.Event(eventSettingsReloaded, eventlog.Fields{"why": cause, "changed": false})
 		}
 		return
 	}
-	w.content = raw
-	s, err := platform.ReadSettings(w.path)
-	if err != nil {
-		w.log.EventWithError(eventSettingsReloaded, err, eventlog.Fields{"why": cause, "applied": false})
-		return
-	}
+	needRestart := fieldsThatNeedRestart(w.current, s)
+	w.current = s
 	w.apply(s)
-	w.log.Event(eventSettingsReloaded, eventlog.Fields{"why": cause, "changed": true, "applied": true})
+	w.log.Event(eventSettingsReloaded, eventlog.Fields{"why": cause, "changed": true, "applied": true, "needRestart": needRestart})
+}
+
+// fieldsThatNeedRestart returns the names of the fields that differ and take effect only
+// at the next start of the process.
+func fieldsThatNeedRestart(old, changed platform.Settings) []string {
+	appliedAtOnce := map[string]bool{"EntryAddrs": true, "Store": true}
+	var names []string
+	a, b := reflect.ValueOf(old), reflect.ValueOf(changed)
+	for i := range a.NumField() {
+		name := a.Type().Field(i).Name
+		if !appliedAtOnce[name] && !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			names = append(names, name)
+		}
+	}
+	return names
 }
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -165,10 +165,7 @@
 	if err := e.addInternalServers(&g); err != nil {
 		return err
 	}
-	watcher, err := newSettingsWatcher(e.options.SettingsPath, e.log, e.applySettings)
-	if err != nil {
-		return err
-	}
+	watcher := newSettingsWatcher(e.options.SettingsPath, e.settings, e.log, e.applySettings)
 	addRunner(&g, watcher.Run)
 	addRunner(&g, e.declaredFollower.Run)
 	addRunner(&g, e.serversFollower.Run)
