Digests count once two responses of the origin are equal

Cause: the digests of a single response were taken unproved, kept for the life of the process and passed on to all agents. Change: two equal responses are needed; digests are dropped when a fetch fails and looked up again. Agents read chunks at the present address of the origin, not at that of the time of the lookup.

--- a/version/loading/digests.go
+++ b/version/loading/digests.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,6 +29,10 @@
 	// maxDigestRequests is the maximum number of agents from which the digests
 	// are requested before they are read from the origin.
 	maxDigestRequests = 2
+	// maxDigestReads is the maximum number of responses of the origin that one lookup
+	// compares, and maxDigestReadFailures the number of failed reads that ends it.
+	maxDigestReads        = 5
+	maxDigestReadFailures = 2
 )
 
 // digestFinder obtains the digests of the chunks of a version. The first agent in
@@ -63,11 +68,35 @@
 	if t.OriginAddr == "" {
 		return nil, errors.New("no origin of weights is declared")
 	}
-	digests, err := f.origin.Digests(ctx, t.OriginAddr, w.Model, w.Version)
-	if err == nil && w.ChunkCount > 0 && len(digests) != w.ChunkCount {
-		err = errors.Errorf("origin names %d pieces, want %d", len(digests), w.ChunkCount)
+	return f.readOrigin(ctx, w, t.OriginAddr)
+}
+
+// readOrigin reads the digests of a version from the origin until two responses are
+// equal. A single response may be corrupt and still well formed, and every agent would
+// take the wrong digests from this one. The digests are about a thousandth of the
+// version's bytes.
+func (f *digestFinder) readOrigin(ctx context.Context, w WantedVersion, addr string) ([]core.Digest, error) {
+	var seen [][]core.Digest
+	failures := 0
+	for len(seen) < maxDigestReads {
+		digests, err := f.origin.Digests(ctx, addr, w.Model, w.Version)
+		if err == nil && w.ChunkCount > 0 && len(digests) != w.ChunkCount {
+			err = core.WrapStep("read digests", addr, errors.Errorf("%d digests of version %d, want %d", len(digests), w.Version, w.ChunkCount))
+		}
+		if err != nil {
+			if failures++; failures == maxDigestReadFailures || ctx.Err() != nil {
+				return nil, err
+			}
+			continue
+		}
+		for _, earlier := range seen {
+			if slices.Equal(earlier, digests) {
+				return digests, nil
+			}
+		}
+		seen = append(seen, digests)
 	}
-	return digests, err
+	return nil, core.WrapStep("read digests", addr, errors.Errorf("%d responses for version %d all differ", len(seen), w.Version))
 }
 
 // sortedByHash returns the agents sorted by orderHash. Every agent computes the
--- a/version/loading/fetch.go
+++ b/version/loading/fetch.go
@@ -41,6 +41,10 @@
 		l.mu.Lock()
 		delete(l.fetching, k)
 		l.fetched[k] = err == nil
+		if err != nil && !errors.Is(err, spread.ErrFull) && ctx.Err() == nil {
+			// The digests may be the reason: no chunk matches wrong ones.
+			delete(l.digests, k)
+		}
 		l.mu.Unlock()
 		if err != nil {
 			if ctx.Err() == nil {
@@ -91,7 +95,7 @@
 		delete(l.digestLookups, k)
 		if err == nil {
 			l.digests[k] = found
-			l.cfg.OriginChunks.AddVersion(target.OriginAddr, k, found)
+			l.cfg.OriginChunks.AddVersion(k, found)
 		}
 		l.mu.Unlock()
 		close(done)
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -127,6 +127,9 @@
 		l.agentsChangedAt = l.cfg.Clock.Now()
 	}
 	l.target = t
+	if t.OriginAddr != "" {
+		l.cfg.OriginChunks.SetOrigin(t.OriginAddr)
+	}
 	select {
 	case l.wake <- struct{}{}:
 	default:
--- a/version/loading/loader_test.go
+++ b/version/loading/loader_test.go
@@ -226,23 +226,25 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	return newFixtureWith(t, &fakeServer{staged: map[int][]byte{}, startUnixMs: 1})
+	return newFixtureWith(t, &fakeServer{staged: map[int][]byte{}, startUnixMs: 1}, fakeOrigin{}, 0)
 }
 
-// newFixtureWith is like newFixture with the given server.
-func newFixtureWith(t *testing.T, server *fakeServer) *fixture {
+// newFixtureWith is like newFixture with the given server and origin. fetchTimeout limits
+// the fetch of a chunk; 0 means the default.
+func newFixtureWith(t *testing.T, server *fakeServer, origin Origin, fetchTimeout time.Duration) *fixture {
 	t.Helper()
 	f := &fixture{
 		server: server, clock: &pausedClock{Clock: clockwork.NewRealClock()},
 		self: spread.Peer{ID: "agent-1", Addr: "127.0.0.1:1", DataCentre: "palermo", Region: "palermo"},
 	}
 	clock := f.clock
-	originChunks := NewOriginChunks(fakeOrigin{})
+	originChunks := NewOriginChunks(origin)
 	swarm := spread.NewSwarm(spread.Config{
 		Self: f.self, Token: "test-token", ReadOriginOnce: true, Metrics: gometrics.NewRegistry(),
+		FetchTimeout: fetchTimeout,
 	}, spread.NewMemStore(1<<20), originChunks, eventlog.Discard(), clock)
 	f.loader = New(Config{
-		Self: f.self.ID, Token: "test-token", Server: f.server, Origin: fakeOrigin{}, OriginChunks: originChunks, Swarm: swarm,
+		Self: f.self.ID, Token: "test-token", Server: f.server, Origin: origin, OriginChunks: originChunks, Swarm: swarm,
 		RollingUpdate: RollingUpdate{}, Publish: f.publish, Client: http.DefaultClient, Log: eventlog.Discard(), Clock: clock,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -260,12 +262,15 @@
 }
 
 // declare makes a version the wanted version of the Loader's target.
-func (f *fixture) declare(version int) {
+func (f *fixture) declare(version int) { f.declareAt(version, "origin") }
+
+// declareAt is like declare with the given address of the origin.
+func (f *fixture) declareAt(version int, originAddr string) {
 	f.loader.SetTarget(Target{
 		Wanted: map[string]WantedVersion{model: {
 			Model: model, Version: version, DeclaredAt: time.Now(), ChunkCount: chunkCount, ChunkBytes: chunkBytes,
 		}},
-		OriginAddr: "origin", Agents: []spread.Peer{f.self},
+		OriginAddr: originAddr, Agents: []spread.Peer{f.self},
 	})
 }
 
--- a/version/loading/loadproof_test.go
+++ b/version/loading/loadproof_test.go
@@ -106,7 +106,7 @@
 		}
 		server.spoil(3)
 		_ = server.accept(1, 0)
-		f := newFixtureWith(t, server)
+		f := newFixtureWith(t, server, fakeOrigin{}, 0)
 		f.declare(1)
 		time.AfterFunc(100*time.Millisecond, func() {
 			server.mu.Lock()
--- a/version/loading/originchunks.go
+++ b/version/loading/originchunks.go
@@ -44,12 +44,17 @@
 	return &OriginChunks{origin: origin, locations: map[string]chunkLocation{}, readSlot: make(chan struct{}, 1), chunksAdded: make(chan struct{})}
 }
 
-// AddVersion adds the chunks of a version and sets the address of the origin to
-// originAddr.
-func (o *OriginChunks) AddVersion(originAddr string, k versionKey, digests []core.Digest) {
+// SetOrigin sets the address of the origin.
+func (o *OriginChunks) SetOrigin(addr string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.originAddr = addr
+}
+
+// AddVersion adds the chunks of a version.
+func (o *OriginChunks) AddVersion(k versionKey, digests []core.Digest) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.originAddr = originAddr
 	for i, d := range digests {
 		o.locations[manifest.ChunkName(d)] = chunkLocation{k, i}
 	}
--- a/version/loading/stage.go
+++ b/version/loading/stage.go
@@ -14,6 +14,9 @@
 	digests, alreadyStaged := l.digests[versionKey{w.Model, w.Version}], l.stagedVersions[w.Model] == w.Version
 	delete(l.stagedVersions, w.Model)
 	l.mu.Unlock()
+	if len(digests) == 0 {
+		return l.markNotFetched(w, 0)
+	}
 	start := l.cfg.Clock.Now()
 	for i, d := range digests {
 		if alreadyStaged {
