Only versions that will be loaded are fetched and kept

Cause: an agent kept the chunks of every version newer than the one its server held. Seven copies fill the memory for chunks, and the one version that is needed finds no room. Change: needed are the newest fetched version, the oldest fetch in progress after it and the newest version; the fetches of others end.

--- a/version/loading/digests_test.go
+++ b/version/loading/digests_test.go
@@ -55,34 +55,40 @@
 	return o.fakeOrigin.Chunk(ctx, addr, model, version, chunkNumber)
 }
 
+// reads returns the numbers of responses with digests and with chunks.
+func (o *spoiltOrigin) reads() (digests, chunks int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.digestReads, o.chunkReads
+}
+
 // Guards against model servers that stay empty because one response of the origin
 // contained a wrong digest.
 func TestSpoiltDigests(t *testing.T) {
-	newServer := func() *fakeServer { return &fakeServer{staged: map[int][]byte{}, startUnixMs: 1} }
-
 	Convey("A wrong digest in one response of the origin is noticed before any chunk is read", t, func() {
 		origin := &spoiltOrigin{spoilt: 1}
-		f := newFixtureWith(t, newServer(), origin, 0)
+		f := newFixtureWith(t, newFakeServer(), origin, 0)
 		f.declare(1)
 		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
-		So(origin.digestReads, ShouldEqual, 3)
-		So(origin.chunkReads, ShouldEqual, chunkCount)
+		digests, chunks := origin.reads()
+		So(digests, ShouldEqual, 3)
+		So(chunks, ShouldEqual, chunkCount)
 	})
 
 	Convey("Two responses with different wrong digests are outvoted", t, func() {
-		f := newFixtureWith(t, newServer(), &spoiltOrigin{spoilt: 2}, 0)
+		f := newFixtureWith(t, newFakeServer(), &spoiltOrigin{spoilt: 2}, 0)
 		f.declare(1)
 		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
 	})
 
 	Convey("Digests that no chunk matches are read again", t, func() {
-		f := newFixtureWith(t, newServer(), &spoiltOrigin{spoilt: 2, alike: true}, 300*time.Millisecond)
+		f := newFixtureWith(t, newFakeServer(), &spoiltOrigin{spoilt: 2, alike: true}, 300*time.Millisecond)
 		f.declare(1)
 		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
 	})
 
 	Convey("Chunks are read from the present address of the origin", t, func() {
-		f := newFixtureWith(t, newServer(), &spoiltOrigin{addr: "new"}, 0)
+		f := newFixtureWith(t, newFakeServer(), &spoiltOrigin{addr: "new"}, 0)
 		f.declareAt(1, "old")
 		So(wait.Until(func() bool {
 			f.loader.mu.Lock()
--- a/version/loading/events.go
+++ b/version/loading/events.go
@@ -23,6 +23,8 @@
 		"The agent has the chunks of a version in its store; held is true if the agent copied the intact chunks from the server, which already holds the version.")
 	eventFetching = eventlog.Define(348, "load-fetching", logrus.InfoLevel,
 		"The agent starts to fetch a version; agents is the number of agents in its list, sources the number of those among which the chunks are divided.")
+	eventSuperseded = eventlog.Define(350, "load-superseded", logrus.InfoLevel,
+		"The agent ends the fetch of a version because it will load a newer one instead.")
 	eventDisproved = eventlog.Define(349, "load-disproved", logrus.WarnLevel,
 		"The server may have loaded wrong chunks; the agent keeps the server out of use and has it load again.")
 	eventServerChanged = eventlog.Define(346, "load-server-changed", logrus.InfoLevel,
--- a/version/loading/fetch.go
+++ b/version/loading/fetch.go
@@ -31,11 +31,13 @@
 	k := versionKey{w.Model, w.Version}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.fetched[k] || l.fetching[k] {
+	if l.fetched[k] || l.fetching[k] != nil {
 		return
 	}
-	l.fetching[k] = true
+	ctx, cancel := context.WithCancel(ctx)
+	l.fetching[k] = cancel
 	go func() {
+		defer cancel()
 		start := l.cfg.Clock.Now()
 		err := l.fetch(ctx, w, heldByServer)
 		l.mu.Lock()
@@ -165,18 +167,18 @@
 	return l.target.sources()
 }
 
-// forgetOldVersions returns the manifests of the versions that the store keeps:
-// for each model the newest version, and every version newer than the one that
-// the server holds. It marks all other versions as not fetched.
+// forgetOldVersions returns the manifests of the versions that the store keeps: for each
+// model the newest version and the needed ones. It marks all other versions as not
+// fetched.
 func (l *Loader) forgetOldVersions() []*manifest.Manifest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var keep []*manifest.Manifest
 	for model, d := range l.declared {
-		newest := len(*d) - 1
+		needed := l.neededVersions(d.newerThan(l.state.Weights[model]))
 		for i, w := range *d {
 			k := versionKey{model, w.Version}
-			if i < newest && w.Version <= l.state.Weights[model] {
+			if i < len(*d)-1 && !containsVersion(needed, w.Version) {
 				delete(l.fetched, k)
 				continue
 			}
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -76,8 +76,9 @@
 	digestLookups map[versionKey]chan struct{}
 	// fetched holds the versions whose chunks are in the store.
 	fetched map[versionKey]bool
-	// fetching holds the versions whose fetch is in progress.
-	fetching map[versionKey]bool
+	// fetching holds, for the versions whose fetch is in progress, the function that
+	// ends the fetch.
+	fetching map[versionKey]context.CancelFunc
 	// stagedVersions maps each model to the version whose chunks are all staged.
 	stagedVersions map[string]int
 	state          ServerState
@@ -101,7 +102,7 @@
 		finder:   digestFinder{self: cfg.Self, token: cfg.Token, origin: cfg.Origin, client: cfg.Client},
 		declared: map[string]*declaredVersions{}, wake: make(chan struct{}, 1),
 		digests: map[versionKey][]core.Digest{}, digestLookups: map[versionKey]chan struct{}{},
-		fetched: map[versionKey]bool{}, fetching: map[versionKey]bool{}, stagedVersions: map[string]int{},
+		fetched: map[versionKey]bool{}, fetching: map[versionKey]context.CancelFunc{}, stagedVersions: map[string]int{},
 		proof: newLoadProof(),
 	}
 }
@@ -218,12 +219,14 @@
 	}
 	l.mu.Lock()
 	target, pending := l.target, l.declared[model].newerThan(heldVersion)
+	needed := l.neededVersions(pending)
+	l.cancelFetches(model, heldVersion, needed)
 	l.mu.Unlock()
 	if len(pending) == 0 {
 		l.startFetch(ctx, target.Wanted[model], true)
 		return idlePollInterval
 	}
-	for _, w := range pending {
+	for _, w := range needed {
 		l.startFetch(ctx, w, false)
 	}
 	w, ok := l.newestFetched(pending)
--- a/version/loading/loader_test.go
+++ b/version/loading/loader_test.go
@@ -226,9 +226,14 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	return newFixtureWith(t, &fakeServer{staged: map[int][]byte{}, startUnixMs: 1}, fakeOrigin{}, 0)
+	return newFixtureWith(t, newFakeServer(), fakeOrigin{}, 0)
 }
 
+func newFakeServer() *fakeServer { return &fakeServer{staged: map[int][]byte{}, startUnixMs: 1} }
+
+// storeBytes is the limit of the agent's store; it holds five versions.
+const storeBytes = 5*chunkCount*chunkBytes + 4096
+
 // newFixtureWith is like newFixture with the given server and origin. fetchTimeout limits
 // the fetch of a chunk; 0 means the default.
 func newFixtureWith(t *testing.T, server *fakeServer, origin Origin, fetchTimeout time.Duration) *fixture {
@@ -242,7 +247,7 @@
 	swarm := spread.NewSwarm(spread.Config{
 		Self: f.self, Token: "test-token", ReadOriginOnce: true, Metrics: gometrics.NewRegistry(),
 		FetchTimeout: fetchTimeout,
-	}, spread.NewMemStore(1<<20), originChunks, eventlog.Discard(), clock)
+	}, spread.NewMemStore(storeBytes), originChunks, eventlog.Discard(), clock)
 	f.loader = New(Config{
 		Self: f.self.ID, Token: "test-token", Server: f.server, Origin: origin, OriginChunks: originChunks, Swarm: swarm,
 		RollingUpdate: RollingUpdate{}, Publish: f.publish, Client: http.DefaultClient, Log: eventlog.Discard(), Clock: clock,
--- a/version/loading/loadproof_test.go
+++ b/version/loading/loadproof_test.go
@@ -30,6 +30,8 @@
 		f.declare(1)
 		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
 		So(f.publishedWrong(), ShouldBeEmpty)
+		f.server.mu.Lock()
+		defer f.server.mu.Unlock()
 		So(f.server.acceptedOrders, ShouldEqual, 1)
 	})
 }
--- a/version/spread/fetcher.go
+++ b/version/spread/fetcher.go
@@ -303,6 +303,22 @@
 	return v
 }
 
+// isWanted reports whether the object with digest d is the manifest or a missing chunk of
+// a version that is being fetched.
+func (s *Swarm) isWanted(d core.Digest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.fetches[d]; ok {
+		return true
+	}
+	for _, v := range s.fetches {
+		if _, ok := v.missingAtStart[d]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // endFetch removes the registration that beginFetch made.
 func (s *Swarm) endFetch(d core.Digest) {
 	s.mu.Lock()
--- a/version/spread/fetchobject.go
+++ b/version/spread/fetchobject.go
@@ -62,8 +62,8 @@
 }
 
 // fetchAtTier fetches an object at a tier. At tierReader it repeats fetchRound
-// until the object arrives, the store is full, or Config.FetchTimeout has passed.
-// At the other tiers it calls fetchRound once.
+// until the object arrives, the store is full, no version that is being fetched
+// contains the object any more, or Config.FetchTimeout has passed. At the other tiers it calls fetchRound once.
 func (s *Swarm) fetchAtTier(o object, t tier) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.FetchTimeout)
 	defer cancel()
@@ -80,7 +80,7 @@
 		}
 		// An owner reports a failed fetch at once, so that the requesting
 		// agent can try other owners.
-		if t != tierReader {
+		if t != tierReader || !s.isWanted(o.digest) {
 			return nil, err
 		}
 		s.log.EventWithError(eventChunkRetry, err, eventlog.Fields{"version": o.version, "chunk": o.digest})
