--- a/version/loading/loadproof_test.go
+++ b/version/loading/loadproof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,34 @@
 	})
 }
 
+// Guards against a load of chunks that turned bad during a verification that took seconds,
+// because the machine is slow.
+func TestSlowVerification(t *testing.T) {
+	Convey("An agent whose verification took too long verifies again before the order", t, func() {
+		f := newFixture(t)
+		var once sync.Once
+		var slowReads atomic.Int64
+		slowReads.Store(chunkCount)
+		f.server.onRead = func(int) {
+			if slowReads.Add(-1) >= 0 {
+				f.clock.ahead.Add(int64(700 * time.Millisecond))
+			}
+			// The chunk that has been read first turns bad.
+			once.Do(func() {
+				f.server.mu.Lock()
+				defer f.server.mu.Unlock()
+				f.server.spoil(0)
+			})
+		}
+		f.declare(1)
+		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
+		So(f.publishedWrong(), ShouldBeEmpty)
+		f.server.mu.Lock()
+		defer f.server.mu.Unlock()
+		So(f.server.acceptedOrders, ShouldEqual, 1)
+	})
+}
+
 // Guards against the use of weights that a server loaded from chunks that turned bad while
 // the load order waited at the server.
 func TestLoadOfSpoiltChunksIsRepeated(t *testing.T) {
