Requests in progress are answered before a stopping entry instance ends

Change: 0.3 s before the connections are closed, what is in progress gets 503 if it has not run and 504 otherwise; requests that come after SIGTERM have no more time than that.

--- a/daemon/hosted/stop.go
+++ b/daemon/hosted/stop.go
@@ -12,8 +12,15 @@
 type drainer interface {
 	// Drain makes each further response close its connection.
 	Drain()
+	// EndRequestsAt makes the handler answer the requests that are in progress at the
+	// given time.
+	EndRequestsAt(at time.Time)
 }
 
+// answerTime is the time before the end of the grace at which requests that are still in
+// progress are answered.
+const answerTime = 300 * time.Millisecond
+
 // shutdowner has the method that shutDownClientServer calls on the HTTP server.
 type shutdowner interface {
 	// Shutdown closes the listener and waits for the running requests.
@@ -23,9 +30,11 @@
 // shutDownClientServer stops the server for clients within grace. The server accepts
 // new connections until the load balancer has detected that the instance is not
 // ready. Then it closes the listener and waits for the running requests. Clients
-// that know no other entry instance may still try to connect after that.
+// that know no other entry instance may still try to connect after that. Requests that
+// are still in progress shortly before the end of grace are answered then.
 func shutDownClientServer(clock clockwork.Clock, handler drainer, server shutdowner, grace time.Duration) error {
 	handler.Drain()
+	handler.EndRequestsAt(clock.Now().Add(grace - answerTime))
 	clock.Sleep(acceptPeriodAfterSignal)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), clock, grace-acceptPeriodAfterSignal)
 	defer cancel()
--- a/daemon/hosted/stop_test.go
+++ b/daemon/hosted/stop_test.go
@@ -13,6 +13,7 @@
 // calls of Drain and Shutdown.
 type busyServer struct {
 	drained    bool
+	endAt      time.Time
 	shutdownAt time.Time
 	deadline   time.Time
 	clock      clockwork.Clock
@@ -20,6 +21,8 @@
 
 func (s *busyServer) Drain() { s.drained = true }
 
+func (s *busyServer) EndRequestsAt(at time.Time) { s.endAt = at }
+
 func (s *busyServer) Shutdown(ctx context.Context) error {
 	s.shutdownAt = s.clock.Now()
 	s.deadline, _ = ctx.Deadline()
@@ -44,5 +47,7 @@
 		// completed before SIGKILL.
 		So(server.shutdownAt.Sub(start), ShouldBeLessThanOrEqualTo, 3*time.Second)
 		So(server.deadline.Sub(start), ShouldEqual, 7500*time.Millisecond)
+		// Requests are answered before the connections are closed.
+		So(server.endAt.Sub(start), ShouldBeBetween, 7*time.Second, 7500*time.Millisecond)
 	})
 }
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -27,6 +27,11 @@
 	// bodyParts limits the memory for response bodies that are read completely.
 	bodyParts bodyParts
 	endChecks endChecks
+	// endAt is when the requests in progress are answered because the process stops; nil
+	// before EndRequestsAt. ending ends then.
+	endAt  atomic.Pointer[time.Time]
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // stats holds the metrics of a [Handler].
@@ -49,7 +54,8 @@
 	timer := func(name string) metrics.Timer {
 		return metrics.GetOrRegisterTimer("requests."+name+".nanoseconds", cfg.Metrics)
 	}
-	return &Handler{cfg: cfg, endChecks: endChecks{partsAtRisk: map[string][]dispatch.PromptPart{}}, stats: stats{
+	ending, end := context.WithCancel(context.Background())
+	return &Handler{cfg: cfg, ending: ending, end: end, endChecks: endChecks{partsAtRisk: map[string][]dispatch.PromptPart{}}, stats: stats{
 		answered: count("answered"), refused: count("refused"), failed: count("failed"),
 		clientLeft: count("left"), attempts: count("sent"),
 		serversEnded: metrics.GetOrRegisterCounter("servers.ended", cfg.Metrics),
@@ -61,6 +67,21 @@
 // on that connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// EndRequestsAt makes the handler answer at the given time the requests that are still in
+// progress then: with a refusal if no server has run them, and with an error otherwise.
+// Servers get no more time than that from now on. A process that ended first would leave
+// these clients without any response.
+func (h *Handler) EndRequestsAt(at time.Time) {
+	h.endAt.Store(&at)
+	h.cfg.Clock.AfterFunc(at.Sub(h.cfg.Clock.Now()), h.end)
+}
+
+// ended reports whether the time of EndRequestsAt has come.
+func (h *Handler) ended() bool {
+	at := h.endAt.Load()
+	return at != nil && !h.cfg.Clock.Now().Before(*at)
+}
+
 // ActiveCount returns the number of requests in progress.
 func (h *Handler) ActiveCount() int64 { return h.activeCount.Load() }
 
@@ -81,9 +102,13 @@
 		c.refuse(refusal)
 		return
 	}
+	if at := h.endAt.Load(); at != nil && at.Before(c.dispatchReq.Deadline) {
+		c.dispatchReq.Deadline = *at
+	}
 	c.setWriteTimeout(c.dispatchReq.Deadline.Sub(c.dispatchReq.ArrivedAt) + writeMargin)
 	ctx, cancel := context.WithDeadline(r.Context(), c.dispatchReq.Deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ending, cancel)()
 	defer c.releaseBodies()
 	c.run(ctx)
 }
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -154,6 +154,10 @@
 	}
 	late := ctx.Err() != nil
 	switch {
+	case len(c.mayHaveRunAt) == 0 && c.ended():
+		c.refuse(&refusal{http.StatusServiceUnavailable, "the instance stops", retryAfterUnready})
+	case c.ended():
+		c.fail(http.StatusGatewayTimeout, "no answer before the instance stops")
 	case len(c.mayHaveRunAt) == 0 && late:
 		c.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "no place before the deadline"})
 	case len(c.mayHaveRunAt) == 0:
