--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -150,6 +150,7 @@
 	if until.Era == f.era {
 		f.applyRowsLocked(rows, until.Revision)
 	}
+	f.blindSince = time.Time{}
 }
 
 // applyRowsLocked is applyRows for callers that hold f.mu, with a revision of f.era.
@@ -175,6 +176,10 @@
 		delete(f.missingRows, r.Key)
 		delete(f.heldBack, r.Key)
 		if c, ok := f.decode(r, now); ok {
+			if c.Weights != nil {
+				// The zero value stands for now.
+				c.Weights.DeclaredAt = f.blindSince
+			}
 			changes = append(changes, c)
 		}
 	}
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -14,9 +14,10 @@
 
 const (
 	// longPollTimeout is the longest time that one ChangesSince call waits for
-	// a change. A dead connection is noticed only after longPollTimeout; a
-	// shorter timeout would put more load on the store.
-	longPollTimeout = 2500 * time.Millisecond
+	// a change. A dead connection is noticed only after longPollTimeout and a
+	// margin, together less than the 3 s after which a process counts as in touch
+	// again; a shorter timeout would put more load on the store.
+	longPollTimeout = 2200 * time.Millisecond
 	// The Follower pauses after each response, so that changes made close
 	// together arrive in one response. declarationsBatchDelay is the pause for the
 	// table of declarations, which must take effect within 2 s.
@@ -51,8 +52,16 @@
 	readRevision uint64
 	// lastResponseAt is the time of the last response of the store.
 	lastResponseAt time.Time
-	// unavailable is true if a call has failed since lastResponseAt.
+	// unavailable is true if a call has failed since lastResponseAt. failedCalls counts
+	// these calls.
 	unavailable bool
+	failedCalls int
+	// timedOut is true if the last failed call got no response in time.
+	timedOut bool
+	// blindSince is the time since which changes may have been made that the last
+	// response reports late, because the call before it waited on a dead connection;
+	// zero if it did not.
+	blindSince time.Time
 	// restoredAt is the end of the last outage, or when the store was seen to have come
 	// back from a copy; in tables other than TableServers only the latter.
 	restoredAt time.Time
@@ -233,6 +242,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	f.blindSince = time.Time{}
+	if f.failedCalls == 1 && f.timedOut {
+		// In a longer outage, the store itself could not be reached.
+		f.blindSince = f.lastResponseAt
+	}
+	f.failedCalls, f.timedOut = 0, false
 	if f.unavailable {
 		f.unavailable = false
 		if f.table == TableServers {
@@ -249,6 +264,8 @@
 func (f *Follower) markUnavailable(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failedCalls++
+	f.timedOut = errors.Is(err, context.DeadlineExceeded)
 	if f.unavailable {
 		return
 	}
--- a/version/catalog/follower_test.go
+++ b/version/catalog/follower_test.go
@@ -79,6 +79,9 @@
 		return Change{DataCentreOut: out, Removed: r.Deleted}, nil
 	}
 	n, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if model, ok := strings.CutPrefix(r.Key, "version/"); ok {
+		return Change{Weights: &Weights{Model: model, Version: int(n)}}, err
+	}
 	return Change{Config: &Config{Version: n}}, err
 }
 
