--- a/request/dispatch/move.go
+++ b/request/dispatch/move.go
@@ -40,12 +40,6 @@
 		!s.retryBudgetOf(req.Service).TakeOptionalRetry(now, s.knownEntryInstanceCount()) {
 		return nil
 	}
-	return s.startMoveSearch(req, from)
-}
-
-// startMoveSearch starts the search for a slot at a server other than that of from. The
-// caller holds s.mu.
-func (s *Scheduler) startMoveSearch(req *Request, from Slot) *MoveSearch {
 	moveReq := *req
 	moveReq.Priority, moveReq.TriedServers = movePriority, maps.Clone(req.TriedServers)
 	moveReq.TriedServers[from.Server.ID] = true
@@ -55,25 +49,6 @@
 	return &MoveSearch{s, w}
 }
 
-// silentPeriod is how long a server with running requests must have sent nothing at all
-// before its requests move before those that wait. Events are due every 50 ms, and
-// clients give up a stream after 2 s without one.
-const silentPeriod = 900 * time.Millisecond
-
-// StartSilentSearch starts the search for a slot at another server for a request whose
-// server, that of from, has sent nothing for silentPeriod to any request of this entry
-// instance. Otherwise it returns nil. If it returns a search, the caller must call Cancel,
-// unless Take has returned a slot.
-func (s *Scheduler) StartSilentSearch(req *Request, from Slot) *MoveSearch {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	st := s.stateOf(from.Server.ID)
-	if s.clock.Now().Sub(st.stallDetector.lastActivity) < silentPeriod {
-		return nil
-	}
-	return s.startMoveSearch(req, from)
-}
-
 // Take returns the slot that was assigned to the stream, or false if none has
 // been assigned yet. The search ends when Take returns a slot, which the caller
 // must then release. A slot at a server that may no longer get the stream, because the
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -334,11 +334,6 @@
 	timer *time.Timer
 	// stalled is true once the watch has closed the connection because of a stall.
 	stalled atomic.Bool
-	// slot is the slot of the present attempt. search is the search for another one while
-	// the server is silent, and found the slot that the search has found; nil without.
-	slot   dispatch.Slot
-	search *dispatch.MoveSearch
-	found  *dispatch.Slot
 	// pending is the request until it begins; nil before awaitBegin.
 	pending *dispatch.PendingBegin
 }
@@ -346,7 +341,7 @@
 // newStallWatch returns a watch that waits for the first byte of a response. If
 // the request must not be sent to another server, the watch does nothing.
 func (c *call) newStallWatch(ctx context.Context, conn *backend.Conn, slot dispatch.Slot) *stallWatch {
-	w := &stallWatch{call: c, ctx: ctx, conn: conn, retryReq: c.dispatchReq, slot: slot}
+	w := &stallWatch{call: c, ctx: ctx, conn: conn, retryReq: c.dispatchReq}
 	w.retryReq.TriedServers = maps.Clone(c.dispatchReq.TriedServers)
 	w.retryReq.TriedServers[slot.Server.ID] = true
 	if !c.route.Repeatable() || len(c.mayHaveRunAt)+1 >= c.route.MaxServers {
@@ -372,8 +367,8 @@
 	switch {
 	case w.ctx.Err() != nil:
 		return
-	case !scheduler.HasFreeSlot(&w.retryReq) && !w.searchSlot():
-		w.resetTimer(stallRecheckInterval / 5)
+	case !scheduler.HasFreeSlot(&w.retryReq):
+		w.resetTimer(stallRecheckInterval)
 		return
 	case !scheduler.TakeRetry(w.retryReq.Service):
 		return
@@ -382,35 +377,6 @@
 	w.conn.Abort()
 }
 
-// searchSlot reports whether a slot at another server has been found for the request of a
-// server that is silent. If no search is in progress, it starts one.
-func (w *stallWatch) searchSlot() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.timer == nil {
-		return false
-	}
-	if w.search == nil {
-		w.search = w.call.cfg.Scheduler.StartSilentSearch(&w.retryReq, w.slot)
-	}
-	if w.search == nil {
-		return false
-	}
-	slot, ok := w.search.Take()
-	if ok {
-		w.search, w.found = nil, &slot
-	}
-	return ok
-}
-
-// cancelSearch ends the search for another slot. The caller holds w.mu.
-func (w *stallWatch) cancelSearch() {
-	if w.search != nil {
-		w.search.Cancel()
-		w.search = nil
-	}
-}
-
 // awaitBegin begins to wait for the begin of the request at the server of slot. It
 // returns false if the request must not be sent, because the weights there are too old.
 func (w *stallWatch) awaitBegin(slot dispatch.Slot) bool {
@@ -424,9 +390,6 @@
 func (w *stallWatch) recordActivity() {
 	w.pending.End()
 	if !w.stalled.Load() {
-		w.mu.Lock()
-		w.cancelSearch()
-		w.mu.Unlock()
 		w.resetTimer(eventTimeout)
 	}
 }
@@ -452,10 +415,6 @@
 		w.timer.Stop()
 		w.timer = nil
 	}
-	w.cancelSearch()
-	if w.found != nil {
-		w.call.moveTarget, w.found = w.found, nil
-	}
 }
 
 // closedConn reports whether the watch has closed the connection, or is about to.
