Loader.publishedWeights: named for what it returns

The method returned the weights that were published last under the name usableWeights, which a reader takes for the decision of loadProof.usable.

--- a/version/loading/loadorder.go
+++ b/version/loading/loadorder.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	if len(r.Weights) > 0 {
-		l.publish(ServerState{Weights: l.usableWeights(), Loading: true})
+		l.publish(ServerState{Weights: l.publishedWeights(), Loading: true})
 		l.cfg.Clock.Sleep(loadNoticeTime)
 	}
 	for n := 1; n < maxVerifications && l.cfg.Clock.Since(verifiedAt) > maxVerificationAge; n++ {
@@ -90,8 +90,8 @@
 	return l.cfg.Server.Unload(ctx, w.Model, w.Version, r.AcceptedOrderCount)
 }
 
-// usableWeights returns the weights that were published last.
-func (l *Loader) usableWeights() map[string]int {
+// publishedWeights returns the weights that were published last.
+func (l *Loader) publishedWeights() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.state.Weights
