Logs show when in a planned stop a request was read and what held up the stop

Events of requests now have bodyMs and, during a stop, stopMs; event 622 counts the connections that were still open by state. No change of what is served.

--- /dev/null
+++ b/daemon/hosted/connections.go
@@ -0,0 +1,46 @@
+package hosted
+
+import (
+	"net"
+	"net/http"
+	"sync"
+)
+
+// connCounts counts the connections of an HTTP server by their state. It is safe for
+// concurrent use.
+type connCounts struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+// record implements the ConnState hook of [http.Server].
+func (c *connCounts) record(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.states, conn)
+		return
+	}
+	if c.states == nil {
+		c.states = map[net.Conn]http.ConnState{}
+	}
+	c.states[conn] = state
+}
+
+// counts returns the number of connections on which no byte has arrived, of those with
+// a request, complete or not, and of those that wait for a further request.
+func (c *connCounts) counts() (unused, active, idle int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, state := range c.states {
+		switch state {
+		case http.StateNew:
+			unused++
+		case http.StateActive:
+			active++
+		case http.StateIdle:
+			idle++
+		}
+	}
+	return unused, active, idle
+}
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -67,6 +67,7 @@
 	// instance is ready.
 	lastReady    atomic.Bool
 	clientServer *http.Server
+	clientConns  connCounts
 }
 
 // RunEntry runs an entry instance until SIGTERM or SIGINT.
@@ -213,6 +214,7 @@
 		IdleTimeout:       clientIdleTimeout,
 		MaxHeaderBytes:    maxClientHeaderBytes,
 		ErrorLog:          newErrorLog(e.log),
+		ConnState:         e.clientConns.record,
 	}
 }
 
@@ -277,6 +279,8 @@
 	e.stopping.Store(true)
 	err := shutDownClientServer(e.clock, e.handler, e.clientServer, stopGrace(&e.settings))
 	if err != nil {
-		e.log.EventWithError(eventStopped, err, eventlog.Fields{"running": e.handler.ActiveCount()})
+		f := eventlog.Fields{"running": e.handler.ActiveCount()}
+		f["connsNew"], f["connsActive"], f["connsIdle"] = e.clientConns.counts()
+		e.log.EventWithError(eventStopped, err, f)
 	}
 }
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -20,10 +20,11 @@
 
 // Handler is an [http.Handler] that forwards requests to backend servers.
 type Handler struct {
-	cfg         Config
-	draining    atomic.Bool
-	activeCount atomic.Int64
-	stats       stats
+	cfg Config
+	// drainingSince is when Drain was called; nil before that.
+	drainingSince atomic.Pointer[time.Time]
+	activeCount   atomic.Int64
+	stats         stats
 	// bodyParts limits the memory for response bodies that are read completely.
 	bodyParts bodyParts
 	endChecks endChecks
@@ -65,7 +66,10 @@
 
 // Drain makes the handler close each client connection after the next response
 // on that connection.
-func (h *Handler) Drain() { h.draining.Store(true) }
+func (h *Handler) Drain() {
+	now := h.cfg.Clock.Now()
+	h.drainingSince.CompareAndSwap(nil, &now)
+}
 
 // EndRequestsAt makes the handler answer at the given time the requests that are still in
 // progress then: with a refusal if no server has run them, and with an error otherwise.
@@ -89,7 +93,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.activeCount.Add(1)
 	defer h.activeCount.Add(-1)
-	if h.draining.Load() {
+	if h.drainingSince.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c := h.newCall(w, r)
@@ -124,6 +128,8 @@
 	route     *catalog.Route
 	account   *catalog.Account
 	body      []byte
+	// bodyReadAt is when the body had been read completely; zero before that.
+	bodyReadAt time.Time
 	// dispatchReq is the description of the request for the scheduler.
 	dispatchReq dispatch.Request
 
@@ -306,7 +312,7 @@
 	if int64(len(body)) > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
-	c.body = body
+	c.body, c.bodyReadAt = body, c.cfg.Clock.Now()
 	return nil
 }
 
@@ -330,7 +336,8 @@
 	c.logEvent(eventRefused, eventlog.Fields{"status": r.status, "reason": r.reason, "retryAfterMs": r.retryAfter.Milliseconds()})
 }
 
-// logEvent logs an event with the fields of the request.
+// logEvent logs an event with the fields of the request. bodyMs is the time from the
+// head to the end of the body, and stopMs the time since the process began to stop.
 func (c *call) logEvent(e eventlog.Event, f eventlog.Fields) {
 	f["request"] = c.requestID
 	f["ms"] = c.cfg.Clock.Now().Sub(c.dispatchReq.ArrivedAt).Milliseconds()
@@ -343,6 +350,12 @@
 	if c.account != nil {
 		f["account"] = c.account.Name
 	}
+	if !c.bodyReadAt.IsZero() {
+		f["bodyMs"] = c.bodyReadAt.Sub(c.dispatchReq.ArrivedAt).Milliseconds()
+	}
+	if since := c.drainingSince.Load(); since != nil {
+		f["stopMs"] = c.cfg.Clock.Now().Sub(*since).Milliseconds()
+	}
 	if len(c.attemptServers) > 0 {
 		f["servers"], f["sends"] = c.attemptServers, c.attemptCount
 	}
