LOST: a request that would outlast a planned stop is refused instead of begun

Cause: once the body was whole, nothing asked whether the time left suffices; the stop only shortened the deadline. Class: check at the door (listener) for what happens later (begin). Change: the stop is one state (forward.Stop) that the handler asks when the body is whole and again right before it sends. Until the load balancer knows of the stop, a request begins if its route's responses usually fit; after that, only if its own deadline is before the end. Otherwise it gets 503 and Retry-After at once, which is true as no server has run it. TestRequestsAreAnsweredBeforeTheStop: the request at a silent server now needs a known usual duration to be sent at all, so the server answers one request first; its checks are the same.

--- a/daemon/hosted/stop.go
+++ b/daemon/hosted/stop.go
@@ -5,16 +5,16 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/rattanway/rattanway/request/forward"
 )
 
 // drainer has the method that shutDownClientServer calls on the handler of client
 // requests.
 type drainer interface {
-	// Drain makes each further response close its connection.
-	Drain()
-	// EndRequestsAt makes the handler answer the requests that are in progress at the
-	// given time.
-	EndRequestsAt(at time.Time)
+	// BeginStop makes the handler refuse the requests that would take longer than the stop,
+	// and answer those that are in progress at its end.
+	BeginStop(forward.Stop)
 }
 
 // answerTime is the time before the end of the grace at which requests that are still in
@@ -33,8 +33,10 @@
 // that know no other entry instance may still try to connect after that. Requests that
 // are still in progress shortly before the end of grace are answered then.
 func shutDownClientServer(clock clockwork.Clock, handler drainer, server shutdowner, grace time.Duration) error {
-	handler.Drain()
-	handler.EndRequestsAt(clock.Now().Add(grace - answerTime))
+	now := clock.Now()
+	handler.BeginStop(forward.Stop{
+		BegunAt: now, AcceptUntil: now.Add(acceptPeriodAfterSignal), AnswerAt: now.Add(grace - answerTime),
+	})
 	clock.Sleep(acceptPeriodAfterSignal)
 	ctx, cancel := clockwork.WithTimeout(context.Background(), clock, grace-acceptPeriodAfterSignal)
 	defer cancel()
--- a/daemon/hosted/stop_test.go
+++ b/daemon/hosted/stop_test.go
@@ -7,21 +7,20 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/rattanway/rattanway/request/forward"
 )
 
 // busyServer is a fake of the handler and the server for clients. It records the
-// calls of Drain and Shutdown.
+// calls of BeginStop and Shutdown.
 type busyServer struct {
-	drained    bool
-	endAt      time.Time
+	stop       forward.Stop
 	shutdownAt time.Time
 	deadline   time.Time
 	clock      clockwork.Clock
 }
 
-func (s *busyServer) Drain() { s.drained = true }
-
-func (s *busyServer) EndRequestsAt(at time.Time) { s.endAt = at }
+func (s *busyServer) BeginStop(stop forward.Stop) { s.stop = stop }
 
 func (s *busyServer) Shutdown(ctx context.Context) error {
 	s.shutdownAt = s.clock.Now()
@@ -39,7 +38,7 @@
 		So(clock.BlockUntilContext(t.Context(), 1), ShouldBeNil)
 		clock.Advance(acceptPeriodAfterSignal)
 		So(<-stopped, ShouldBeNil)
-		So(server.drained, ShouldBeTrue)
+		So(server.stop.BegunAt, ShouldEqual, start)
 		// The load balancer checks readiness once a second and sends no more
 		// connections after two failed checks.
 		So(server.shutdownAt.Sub(start), ShouldBeGreaterThanOrEqualTo, 2*time.Second)
@@ -48,6 +47,6 @@
 		So(server.shutdownAt.Sub(start), ShouldBeLessThanOrEqualTo, 3*time.Second)
 		So(server.deadline.Sub(start), ShouldEqual, 7500*time.Millisecond)
 		// Requests are answered before the connections are closed.
-		So(server.endAt.Sub(start), ShouldBeBetween, 7*time.Second, 7500*time.Millisecond)
+		So(server.stop.AnswerAt.Sub(start), ShouldBeBetween, 7*time.Second, 7500*time.Millisecond)
 	})
 }
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -438,9 +438,10 @@
 }
 
 func TestDrainClosesConnections(t *testing.T) {
-	Convey("After Drain, responses are complete and the client connections are closed after them", t, func() {
+	Convey("After BeginStop, responses are complete and the client connections are closed after them", t, func() {
 		f := newFixture(t, nil, newOKServer(t, "s1"))
-		f.handler.Drain()
+		now := time.Now()
+		f.handler.BeginStop(Stop{BegunAt: now, AcceptUntil: now.Add(time.Second), AnswerAt: now.Add(10 * time.Second)})
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.httpServer.URL+"/safe/", nil)
 		So(err, ShouldBeNil)
 		req.Host = "example"
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -20,19 +20,19 @@
 
 // Handler is an [http.Handler] that forwards requests to backend servers.
 type Handler struct {
-	cfg Config
-	// drainingSince is when Drain was called; nil before that.
-	drainingSince atomic.Pointer[time.Time]
-	activeCount   atomic.Int64
-	stats         stats
+	cfg         Config
+	activeCount atomic.Int64
+	stats       stats
 	// bodyParts limits the memory for response bodies that are read completely.
 	bodyParts bodyParts
 	endChecks endChecks
-	// endAt is when the requests in progress are answered because the process stops; nil
-	// before EndRequestsAt. ending ends then.
-	endAt  atomic.Pointer[time.Time]
+	// stop is the planned stop of the process; nil before BeginStop. ending ends at
+	// Stop.AnswerAt.
+	stop   atomic.Pointer[Stop]
 	ending context.Context
 	end    context.CancelFunc
+	// durations are those of the complete responses, by route.
+	durations usualDurations
 }
 
 // stats holds the metrics of a [Handler].
@@ -56,7 +56,7 @@
 		return metrics.GetOrRegisterTimer("requests."+name+".nanoseconds", cfg.Metrics)
 	}
 	ending, end := context.WithCancel(context.Background())
-	return &Handler{cfg: cfg, ending: ending, end: end, endChecks: endChecks{partsAtRisk: map[string][]dispatch.PromptPart{}}, stats: stats{
+	return &Handler{cfg: cfg, ending: ending, end: end, durations: newUsualDurations(), endChecks: endChecks{partsAtRisk: map[string][]dispatch.PromptPart{}}, stats: stats{
 		answered: count("answered"), refused: count("refused"), failed: count("failed"),
 		clientLeft: count("left"), attempts: count("sent"),
 		serversEnded: metrics.GetOrRegisterCounter("servers.ended", cfg.Metrics),
@@ -64,28 +64,6 @@
 	}}
 }
 
-// Drain makes the handler close each client connection after the next response
-// on that connection.
-func (h *Handler) Drain() {
-	now := h.cfg.Clock.Now()
-	h.drainingSince.CompareAndSwap(nil, &now)
-}
-
-// EndRequestsAt makes the handler answer at the given time the requests that are still in
-// progress then: with a refusal if no server has run them, and with an error otherwise.
-// Servers get no more time than that from now on. A process that ended first would leave
-// these clients without any response.
-func (h *Handler) EndRequestsAt(at time.Time) {
-	h.endAt.Store(&at)
-	h.cfg.Clock.AfterFunc(at.Sub(h.cfg.Clock.Now()), h.end)
-}
-
-// ended reports whether the time of EndRequestsAt has come.
-func (h *Handler) ended() bool {
-	at := h.endAt.Load()
-	return at != nil && !h.cfg.Clock.Now().Before(*at)
-}
-
 // ActiveCount returns the number of requests in progress.
 func (h *Handler) ActiveCount() int64 { return h.activeCount.Load() }
 
@@ -93,7 +71,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.activeCount.Add(1)
 	defer h.activeCount.Add(-1)
-	if h.drainingSince.Load() != nil {
+	if h.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c := h.newCall(w, r)
@@ -106,8 +84,9 @@
 		c.refuse(refusal)
 		return
 	}
-	if at := h.endAt.Load(); at != nil && at.Before(c.dispatchReq.Deadline) {
-		c.dispatchReq.Deadline = *at
+	if refusal := c.limitToStop(); refusal != nil {
+		c.refuse(refusal)
+		return
 	}
 	c.setWriteTimeout(c.dispatchReq.Deadline.Sub(c.dispatchReq.ArrivedAt) + writeMargin)
 	ctx, cancel := context.WithDeadline(r.Context(), c.dispatchReq.Deadline)
@@ -132,6 +111,9 @@
 	bodyReadAt time.Time
 	// dispatchReq is the description of the request for the scheduler.
 	dispatchReq dispatch.Request
+	// ownDeadline is the deadline of the request without regard to the stop of the
+	// process.
+	ownDeadline time.Time
 
 	// attemptCount is the number of attempts at servers so far.
 	attemptCount int
@@ -353,8 +335,8 @@
 	if !c.bodyReadAt.IsZero() {
 		f["bodyMs"] = c.bodyReadAt.Sub(c.dispatchReq.ArrivedAt).Milliseconds()
 	}
-	if since := c.drainingSince.Load(); since != nil {
-		f["stopMs"] = c.cfg.Clock.Now().Sub(*since).Milliseconds()
+	if stop := c.stop.Load(); stop != nil {
+		f["stopMs"] = c.cfg.Clock.Now().Sub(stop.BegunAt).Milliseconds()
 	}
 	if len(c.attemptServers) > 0 {
 		f["servers"], f["sends"] = c.attemptServers, c.attemptCount
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -68,6 +68,9 @@
 func (c *call) recordAnswered(slot dispatch.Slot, r *attemptResult) {
 	now := c.cfg.Clock.Now()
 	c.stats.answered.Inc(1)
+	if c.attemptCount == 1 && r.status < http.StatusMultipleChoices {
+		c.durations.record(c.route.Name, now.Sub(r.sentAt))
+	}
 	c.stats.lastByte.Update(now.Sub(c.dispatchReq.ArrivedAt))
 	f := eventlog.Fields{"running": slot.RunningCount, "version": slot.Version, "remote": slot.Remote}
 	if !r.begunAt.IsZero() {
@@ -113,6 +116,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return ctx.Err()
+	case errors.Is(r.err, errStopping):
+		return errStopping
 	case r.outcome == dispatch.Cancelled:
 		return errors.Wrap(errNoRetry, "ended")
 	case c.dispatchReq.Deadline.Sub(c.cfg.Clock.Now()) < minRetryTime:
@@ -154,8 +159,8 @@
 	}
 	late := ctx.Err() != nil
 	switch {
-	case len(c.mayHaveRunAt) == 0 && c.ended():
-		c.refuse(&refusal{http.StatusServiceUnavailable, "the instance stops", retryAfterUnready})
+	case len(c.mayHaveRunAt) == 0 && (c.ended() || !c.mayBegin()):
+		c.refuse(refusalOfStop())
 	case c.ended():
 		c.fail(http.StatusGatewayTimeout, "no answer before the instance stops")
 	case len(c.mayHaveRunAt) == 0 && late:
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -101,6 +101,10 @@
 		conn.Close()
 		return c.markEnded(ctx, attemptResult{outcome: dispatch.Outdated, err: errOutdated})
 	}
+	if !c.mayBegin() {
+		conn.Close()
+		return attemptResult{outcome: dispatch.Cancelled, err: errStopping}
+	}
 	reused, sentAt := conn.Used(), c.cfg.Clock.Now()
 	resp, err := conn.Do(ctx, c.requestHead(slot), c.httpReq, c.body, c.isFinalResponse)
 	if errors.Is(err, backend.ErrNotSent) {
--- a/request/forward/stop_test.go
+++ b/request/forward/stop_test.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -33,15 +36,24 @@
 
 	for _, late := range []bool{false, true} {
 		Convey("Requests at a silent server get a response when the process stops; sent after the signal: "+strconv.FormatBool(late), t, func() {
-			silent := newSilentServer(t)
+			silent := newServer(t, "silent", func(r receivedRequest, n int) string {
+				if n == 1 {
+					return fullResponse(r, http.StatusOK, "lot 7")
+				}
+				<-t.Context().Done()
+				return ""
+			})
 			f := newFixture(t, nil, silent)
+			// The usual duration of the route is known, and short.
+			So(f.send(t, http.MethodPost, "/unsafe/", "").status, ShouldEqual, http.StatusOK)
 			start := time.Now()
 			var responses <-chan clientResponse
 			if !late {
 				responses = sendAll(f, 1)
-				So(wait.Until(func() bool { return silent.requestCount() == 1 }), ShouldBeTrue)
+				So(wait.Until(func() bool { return silent.requestCount() == 2 }), ShouldBeTrue)
 			}
-			f.handler.EndRequestsAt(time.Now().Add(300 * time.Millisecond))
+			now := time.Now()
+			f.handler.BeginStop(Stop{BegunAt: now, AcceptUntil: now.Add(time.Second), AnswerAt: now.Add(300 * time.Millisecond)})
 			if late {
 				responses = sendAll(f, 1)
 			}
@@ -57,3 +69,93 @@
 		})
 	}
 }
+
+// Guards against streams that begin shortly before the process ends and are cut off: a
+// refusal is true as long as no server has run the request.
+func TestRequestsThatOutlastAStopAreRefused(t *testing.T) {
+	// begin opens a connection, sends the head of a request with a body in chunks, and
+	// returns functions that send the rest and read the response.
+	begin := func(f *handlerFixture, path string) (finish func(), read func() clientResponse) {
+		conn, err := net.Dial("tcp", f.httpServer.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: example\r\nX-Id: id-1\r\nAuthorization: Token k1\r\n"+
+			"X-Deadline: 5000\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk("lot"))
+		So(err, ShouldBeNil)
+		finish = func() {
+			_, err := io.WriteString(conn, chunk(" 7")+lastChunk)
+			So(err, ShouldBeNil)
+		}
+		return finish, func() clientResponse {
+			defer func() { _ = conn.Close() }()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return clientResponse{err: err}
+			}
+			body, err := io.ReadAll(resp.Body)
+			return clientResponse{resp.StatusCode, resp.Header, string(body), err}
+		}
+	}
+
+	for _, path := range []string{"/stream/", "/resumable/", "/unsafe/"} {
+		Convey("A request to "+path+" whose body is complete when too little time is left gets 503 and reaches no server", t, func() {
+			slow := newServer(t, "slow", func(r receivedRequest, n int) string {
+				_, _ = io.WriteString(r.conn, streamHeader(r)+chunk(event(1)))
+				if n > 1 {
+					<-t.Context().Done()
+					return ""
+				}
+				<-time.After(600 * time.Millisecond)
+				return chunk(event(2)) + lastChunk
+			})
+			f := newFixture(t, nil, slow)
+			// The usual duration of the route is known.
+			So(f.send(t, http.MethodPost, path, "").status, ShouldEqual, http.StatusOK)
+
+			finish, read := begin(f, path)
+			now := time.Now()
+			f.handler.BeginStop(Stop{BegunAt: now, AcceptUntil: now.Add(time.Second), AnswerAt: now.Add(1200 * time.Millisecond)})
+			<-time.After(300 * time.Millisecond)
+			finish()
+			r := read()
+			So(r.err, ShouldBeNil)
+			So(r.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(r.header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(slow.requestCount(), ShouldEqual, 1)
+		})
+	}
+
+	Convey("Whether a request may begin depends on the time that is left", t, func() {
+		begunAt := time.Unix(1000, 0)
+		at := func(s float64) time.Time { return begunAt.Add(time.Duration(s * float64(time.Second))) }
+		stop := Stop{BegunAt: begunAt, AcceptUntil: at(2.5), AnswerAt: at(7)}
+		for _, c := range []struct {
+			now, deadline float64
+			usual         time.Duration
+			want          bool
+		}{
+			{now: 1, deadline: 7, usual: 9 * time.Second, want: true},
+			{now: 1, deadline: 7.1, usual: 6 * time.Second, want: true},
+			{now: 1, deadline: 7.1, usual: 6100 * time.Millisecond, want: false},
+			{now: 1, deadline: 7.1, usual: 0, want: false},
+			{now: 2.4, deadline: 8, usual: time.Second, want: true},
+			{now: 2.6, deadline: 8, usual: time.Second, want: false},
+			{now: 2.6, deadline: 6, usual: 0, want: true},
+		} {
+			So(stop.mayBegin(at(c.now), at(c.deadline), c.usual), ShouldEqual, c.want)
+		}
+	})
+
+	Convey("The usual duration of a route follows its responses", t, func() {
+		u := newUsualDurations()
+		So(u.usual("/stream/"), ShouldEqual, 0)
+		for range 100 {
+			u.record("/stream/", 3*time.Second)
+		}
+		So(u.usual("/stream/"), ShouldBeBetweenOrEqual, 3*time.Second, 3100*time.Millisecond)
+		for range 100 {
+			u.record("/stream/", 4*time.Second)
+			u.record("/stream/", 2*time.Second)
+		}
+		So(u.usual("/stream/"), ShouldBeGreaterThan, 4*time.Second)
+	})
+}
