Requests whose deadline has come reach no server

What callers saw: 504 or 503 long after their deadline; servers ran requests for nobody. Cause: the sender wrote a remaining time of at least 1 ms, whatever was left; with an open connection to the server in the pool nothing looked at the deadline before the sending. The body was read without a time limit. Change: the body is given up at the deadline, with 408, or at the end of a stop, with 503. Right before each sending, first, repeated or resumed, the time left is checked. Evidence: TestBodyThatEndsAfterTheDeadline fails before (safe and resumable routes: the server got the request; unsafe route, which uses a new connection: 503 after 1 s instead of 408 at 0.3 s) and passes now.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -275,7 +275,8 @@
 }
 
 // readBody reads the complete body into c.body, so that the request can be sent
-// more than once. It returns a refusal if this fails.
+// more than once. It returns a refusal if this fails, or if it takes until the deadline of
+// the request or the end of the process's stop.
 func (c *call) readBody() *refusal {
 	limit := c.snapshot.Config.Limits.MaxBodyBytes
 	if limit <= 0 {
@@ -287,7 +288,19 @@
 	if c.httpReq.ContentLength == 0 {
 		return nil
 	}
+	conn := http.NewResponseController(c.w)
+	if err := conn.SetReadDeadline(time.Now().Add(c.dispatchReq.Deadline.Sub(c.cfg.Clock.Now()))); err != nil {
+		return &refusal{status: http.StatusRequestTimeout, reason: "limit the time for the body: " + err.Error()}
+	}
+	giveUp := func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) } // if this fails, the connection has ended
+	defer context.AfterFunc(c.ending, giveUp)()
 	body, err := io.ReadAll(io.LimitReader(c.httpReq.Body, limit+1))
+	if err != nil && c.ended() {
+		return refusalOfStop()
+	}
+	if err == nil {
+		err = conn.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not received: " + err.Error()}
 	}
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -116,8 +116,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return ctx.Err()
-	case errors.Is(r.err, errStopping):
-		return errStopping
+	case errors.Is(r.err, errStopping), errors.Is(r.err, errNoTime):
+		return r.err
 	case r.outcome == dispatch.Cancelled:
 		return errors.Wrap(errNoRetry, "ended")
 	case c.dispatchReq.Deadline.Sub(c.cfg.Clock.Now()) < minRetryTime:
@@ -157,7 +157,7 @@
 		c.logEvent(eventAnswered, eventlog.Fields{"status": c.serverError.status, "reason": cause.Error()})
 		return
 	}
-	late := ctx.Err() != nil
+	late := ctx.Err() != nil || errors.Is(cause, errNoTime)
 	switch {
 	case len(c.mayHaveRunAt) == 0 && (c.ended() || !c.mayBegin()):
 		c.refuse(refusalOfStop())
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -101,12 +101,12 @@
 		conn.Close()
 		return c.markEnded(ctx, attemptResult{outcome: dispatch.Outdated, err: errOutdated})
 	}
-	if !c.mayBegin() {
+	reused, sentAt := conn.Used(), c.cfg.Clock.Now()
+	if err := c.checkTime(sentAt); err != nil {
 		conn.Close()
-		return attemptResult{outcome: dispatch.Cancelled, err: errStopping}
+		return attemptResult{outcome: dispatch.Cancelled, err: err}
 	}
-	reused, sentAt := conn.Used(), c.cfg.Clock.Now()
-	resp, err := conn.Do(ctx, c.requestHead(slot), c.httpReq, c.body, c.isFinalResponse)
+	resp, err := conn.Do(ctx, c.requestHead(slot, sentAt), c.httpReq, c.body, c.isFinalResponse)
 	if errors.Is(err, backend.ErrNotSent) {
 		conn.Close()
 		return attemptResult{outcome: dispatch.Broken, err: err}
@@ -266,8 +266,9 @@
 	}
 }
 
-// requestHead returns the request line and the header to send to the server.
-func (c *call) requestHead(slot dispatch.Slot) string {
+// requestHead returns the request line and the header to send to the server at the given
+// time.
+func (c *call) requestHead(slot dispatch.Slot, at time.Time) string {
 	names := &c.cfg.Headers
 	var b strings.Builder
 	b.Grow(512)
@@ -291,8 +292,7 @@
 	if c.body != nil || c.httpReq.Method != http.MethodGet && c.httpReq.Method != http.MethodHead {
 		writeHeader("Content-Length", strconv.Itoa(len(c.body)))
 	}
-	remaining := max(1, c.dispatchReq.Deadline.Sub(c.cfg.Clock.Now()).Milliseconds())
-	writeHeader(names.Deadline, strconv.FormatInt(remaining, 10))
+	writeHeader(names.Deadline, strconv.FormatInt(c.dispatchReq.Deadline.Sub(at).Milliseconds(), 10))
 	writeHeader(names.ExpectServer, slot.Server.ID)
 	if c.account != nil {
 		writeHeader(names.Account, c.account.Name)
--- a/request/forward/stop.go
+++ b/request/forward/stop.go
@@ -69,6 +69,21 @@
 		stop.mayBegin(c.cfg.Clock.Now(), c.ownDeadline, c.durations.usual(c.route.Name))
 }
 
+// errNoTime means that a request is not sent to a server because its deadline has come.
+var errNoTime = errors.New("no time left")
+
+// checkTime returns why the request must not be sent to a server at the given time: its
+// deadline has come, or the process stops too soon. It returns nil if it may be sent.
+func (c *call) checkTime(now time.Time) error {
+	switch {
+	case c.dispatchReq.Deadline.Sub(now) < time.Millisecond:
+		return errNoTime
+	case !c.mayBegin():
+		return errStopping
+	}
+	return nil
+}
+
 // limitToStop returns a refusal if the process stops too soon for the request. Otherwise it
 // limits the request's deadline to the time that is left.
 func (c *call) limitToStop() *refusal {
--- a/request/forward/stop_test.go
+++ b/request/forward/stop_test.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -73,29 +71,6 @@
 // Guards against streams that begin shortly before the process ends and are cut off: a
 // refusal is true as long as no server has run the request.
 func TestRequestsThatOutlastAStopAreRefused(t *testing.T) {
-	// begin opens a connection, sends the head of a request with a body in chunks, and
-	// returns functions that send the rest and read the response.
-	begin := func(f *handlerFixture, path string) (finish func(), read func() clientResponse) {
-		conn, err := net.Dial("tcp", f.httpServer.Listener.Addr().String())
-		So(err, ShouldBeNil)
-		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: example\r\nX-Id: id-1\r\nAuthorization: Token k1\r\n"+
-			"X-Deadline: 5000\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk("lot"))
-		So(err, ShouldBeNil)
-		finish = func() {
-			_, err := io.WriteString(conn, chunk(" 7")+lastChunk)
-			So(err, ShouldBeNil)
-		}
-		return finish, func() clientResponse {
-			defer func() { _ = conn.Close() }()
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil {
-				return clientResponse{err: err}
-			}
-			body, err := io.ReadAll(resp.Body)
-			return clientResponse{resp.StatusCode, resp.Header, string(body), err}
-		}
-	}
-
 	for _, path := range []string{"/stream/", "/resumable/", "/unsafe/"} {
 		Convey("A request to "+path+" whose body is complete when too little time is left gets 503 and reaches no server", t, func() {
 			slow := newServer(t, "slow", func(r receivedRequest, n int) string {
@@ -111,7 +86,7 @@
 			// The usual duration of the route is known.
 			So(f.send(t, http.MethodPost, path, "").status, ShouldEqual, http.StatusOK)
 
-			finish, read := begin(f, path)
+			finish, read := f.beginChunked(path, "5000")
 			now := time.Now()
 			f.handler.BeginStop(Stop{BegunAt: now, AcceptUntil: now.Add(time.Second), AnswerAt: now.Add(1200 * time.Millisecond)})
 			<-time.After(300 * time.Millisecond)
