Open connections get responses until a stopping entry instance has answered everything

Cause: http.Server.Shutdown closes the listener and what net/http counts as idle in one step. A request that has been read but is not counted as active yet would be sent to a server all the same, without a connection for its response (by reading; not reproduced). Change: the listener is closed first; open connections get responses, mostly 503, while any request is in progress, and are closed last. From then on the handler refuses what comes.

--- a/daemon/hosted/common.go
+++ b/daemon/hosted/common.go
@@ -35,7 +35,7 @@
 	eventStopping = eventlog.Define(621, "hosted-stopping", logrus.InfoLevel,
 		"The process received a signal to stop; it soon accepts no new connections and completes the running requests.")
 	eventStopped = eventlog.Define(622, "hosted-stopped", logrus.InfoLevel,
-		"The process exits; on entry instances, a field gives the number of requests that were still running. A line with an error precedes this if connections were still open at the end of the grace: unused ones (connsNew), those with a request, complete or not (connsActive), and idle ones (connsIdle).")
+		"The process exits; on entry instances, a field gives the number of requests that were still running. A line with an error precedes this if connections were still open at the end of the grace: those without a complete head of a request (connsNew), those with a request in progress (connsActive), and idle ones (connsIdle).")
 	eventSettingsReloaded = eventlog.Define(623, "hosted-settings", logrus.InfoLevel,
 		"The settings file was read again; an invalid file is not applied. needRestart names the changed settings that take effect at the next start.")
 	eventReady = eventlog.Define(624, "hosted-ready", logrus.InfoLevel,
--- a/daemon/hosted/connections.go
+++ b/daemon/hosted/connections.go
@@ -27,8 +27,9 @@
 	c.states[conn] = state
 }
 
-// counts returns the number of connections on which no byte has arrived, of those with
-// a request, complete or not, and of those that wait for a further request.
+// counts returns the number of connections on which no complete head of a request has
+// arrived, of those with a request in progress, and of those that wait for a further
+// request.
 func (c *connCounts) counts() (unused, active, idle int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -65,9 +65,10 @@
 	stopping         atomic.Bool
 	// lastReady is true if the last response to the readiness check was that the
 	// instance is ready.
-	lastReady    atomic.Bool
-	clientServer *http.Server
-	clientConns  connCounts
+	lastReady      atomic.Bool
+	clientListener net.Listener
+	clientServer   *http.Server
+	clientConns    connCounts
 }
 
 // RunEntry runs an entry instance until SIGTERM or SIGINT.
@@ -148,15 +149,15 @@
 	if err != nil {
 		return core.WrapStep("listen for clients", e.settings.Listen.Clients, err)
 	}
-	e.clientServer = e.newClientServer()
+	e.clientListener, e.clientServer = clientListener, e.newClientServer()
 	stopped := make(chan struct{})
 	g.Add(func() error {
 		err := ignoreServerClosed(e.clientServer.Serve(clientListener))
-		if err == nil {
-			// Shutdown has closed the listener. The actor must not return while
-			// requests still run, because the group stops as soon as one actor
-			// returns.
+		if e.stopping.Load() {
+			// The stop has closed the listener. The actor must not return while requests
+			// still run, because the group stops as soon as one actor returns.
 			<-stopped
+			return nil
 		}
 		return err
 	}, func(error) {
@@ -277,8 +278,14 @@
 // the time that stopGrace returns.
 func (e *entry) drain() {
 	e.stopping.Store(true)
-	err := shutDownClientServer(e.clock, e.handler, e.clientServer, stopGrace(&e.settings))
-	if err != nil {
+	stop := clientStop{
+		clock: e.clock, handler: e.handler, listener: e.clientListener, server: e.clientServer,
+		activeConns: func() int {
+			_, active, _ := e.clientConns.counts()
+			return active
+		},
+	}
+	if err := stop.run(stopGrace(&e.settings)); err != nil {
 		f := eventlog.Fields{"running": e.handler.ActiveCount()}
 		f["connsNew"], f["connsActive"], f["connsIdle"] = e.clientConns.counts()
 		e.log.EventWithError(eventStopped, err, f)
--- a/daemon/hosted/stop.go
+++ b/daemon/hosted/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -9,36 +10,63 @@
 	"github.com/rattanway/rattanway/request/forward"
 )
 
-// drainer has the method that shutDownClientServer calls on the handler of client
-// requests.
+const (
+	// answerTime is the time before the end of the grace at which requests that are still
+	// in progress are answered, and closeTime the time before it from which connections
+	// are closed.
+	answerTime = 300 * time.Millisecond
+	closeTime  = 100 * time.Millisecond
+	// stopPollInterval is the time between two checks whether requests are in progress.
+	stopPollInterval = 20 * time.Millisecond
+)
+
+// drainer has the methods that clientStop calls on the handler of client requests.
 type drainer interface {
 	// BeginStop makes the handler refuse the requests that would take longer than the stop,
 	// and answer those that are in progress at its end.
 	BeginStop(forward.Stop)
+	// EndStop makes the handler answer what is in progress now and refuse all others.
+	EndStop()
 }
 
-// answerTime is the time before the end of the grace at which requests that are still in
-// progress are answered.
-const answerTime = 300 * time.Millisecond
-
-// shutdowner has the method that shutDownClientServer calls on the HTTP server.
+// shutdowner has the method that clientStop calls on the HTTP server.
 type shutdowner interface {
-	// Shutdown closes the listener and waits for the running requests.
+	// Shutdown closes the connections without a request and waits for the others.
 	Shutdown(ctx context.Context) error
 }
 
-// shutDownClientServer stops the server for clients within grace. The server accepts
-// new connections until the load balancer has detected that the instance is not
-// ready. Then it closes the listener and waits for the running requests. Clients
-// that know no other entry instance may still try to connect after that. Requests that
-// are still in progress shortly before the end of grace are answered then.
-func shutDownClientServer(clock clockwork.Clock, handler drainer, server shutdowner, grace time.Duration) error {
-	now := clock.Now()
-	handler.BeginStop(forward.Stop{
-		BegunAt: now, AcceptUntil: now.Add(acceptPeriodAfterSignal), AnswerAt: now.Add(grace - answerTime),
+// clientStop is the planned stop of the server for clients.
+type clientStop struct {
+	clock    clockwork.Clock
+	handler  drainer
+	listener io.Closer
+	server   shutdowner
+	// activeConns returns the number of connections with a request in progress.
+	activeConns func() int
+}
+
+// run stops the server within grace. New connections are accepted until the load balancer
+// has detected that the instance is not ready. Requests on open connections are answered
+// as long as any request is in progress: a connection that closes would not tell its
+// client whether a request that crosses the close has run. Requests that are still in
+// progress shortly before the end of grace are answered then.
+func (s *clientStop) run(grace time.Duration) error {
+	begunAt := s.clock.Now()
+	endAt := begunAt.Add(grace)
+	s.handler.BeginStop(forward.Stop{
+		BegunAt: begunAt, AcceptUntil: begunAt.Add(acceptPeriodAfterSignal), AnswerAt: endAt.Add(-answerTime),
 	})
-	clock.Sleep(acceptPeriodAfterSignal)
-	ctx, cancel := clockwork.WithTimeout(context.Background(), clock, grace-acceptPeriodAfterSignal)
+	s.clock.Sleep(acceptPeriodAfterSignal)
+	closeErr := s.listener.Close()
+	for s.activeConns() > 0 && s.clock.Now().Before(endAt.Add(-closeTime)) {
+		s.clock.Sleep(stopPollInterval)
+	}
+	// The server may close a connection whose request has just been read.
+	s.handler.EndStop()
+	ctx, cancel := clockwork.WithTimeout(context.Background(), s.clock, closeTime)
 	defer cancel()
-	return server.Shutdown(ctx)
+	if err := s.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	return closeErr
 }
--- a/request/forward/stop.go
+++ b/request/forward/stop.go
@@ -45,6 +45,14 @@
 	h.cfg.Clock.AfterFunc(s.AnswerAt.Sub(h.cfg.Clock.Now()), h.end)
 }
 
+// EndStop makes the handler answer the requests in progress now, and refuse all others.
+func (h *Handler) EndStop() {
+	s := *h.stop.Load()
+	s.AcceptUntil, s.AnswerAt = s.BegunAt, h.cfg.Clock.Now()
+	h.stop.Store(&s)
+	h.end()
+}
+
 // ended reports whether Stop.AnswerAt has come.
 func (h *Handler) ended() bool {
 	stop := h.stop.Load()
