A signal that comes while a process starts does not end it

What callers could see: an entry instance that got SIGTERM or SIGHUP between opening its listener and installing the handlers was ended at once, with the requests it had read. Cause: the handlers were installed by components that start after the listener. Change: signals are received from the first line of the daemon on, until the process exits. On the code before, the same two signals end the process, as no handler is installed.

--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -80,6 +80,7 @@
 
 // RunAgent runs an agent until SIGTERM or SIGINT.
 func RunAgent(o Options) error {
+	signals := receiveSignals()
 	debug.SetGCPercent(agentGCPercent)
 	settings, err := platform.ReadSettings(o.SettingsPath)
 	if err == nil {
@@ -92,7 +93,7 @@
 	defer func() { _ = closer.Close() }()
 	a := newAgent(settings, o, log)
 	defer a.swarm.Close()
-	return a.run(o)
+	return a.run(o, signals)
 }
 
 // newAgent creates the components of an agent and connects them.
@@ -133,7 +134,7 @@
 
 // run serves weights to other agents and loads weights into the model server until
 // SIGTERM or SIGINT.
-func (a *agent) run(o Options) error {
+func (a *agent) run(o Options, signals processSignals) error {
 	var g run.Group
 	mux := http.NewServeMux()
 	weights := spread.Handler(a.swarm, o.Token)
@@ -146,13 +147,13 @@
 	if err := addMetrics(&g, a.settings.IP, o.MetricsPort, a.metricsRegistry); err != nil {
 		return err
 	}
-	watcher := newSettingsWatcher(o.SettingsPath, a.settings, a.log, func(s platform.Settings) {
+	watcher := newSettingsWatcher(o.SettingsPath, a.settings, signals.reload, a.log, func(s platform.Settings) {
 		a.entryConnections.AddEntries(s.EntryAddrs)
 	})
 	addRunner(&g, watcher.Run)
 	addRunner(&g, a.entryConnections.Run)
 	addRunner(&g, a.loader.Run)
-	addSignals(&g, a.log, func() {})
+	signals.addStop(&g, a.log, func() {})
 	a.log.Event(eventStarted, eventlog.Fields{
 		"role": core.RoleAgent, "addr": a.entryConnections.Self().Addr, "server": a.settings.ServerAddr,
 		"dataCentre": a.settings.DataCentre,
--- a/daemon/hosted/common.go
+++ b/daemon/hosted/common.go
@@ -76,16 +76,28 @@
 	g.Add(func() error { return runner(ctx) }, func(error) { cancel() })
 }
 
-// addSignals adds to the group an actor that calls drain at SIGTERM or SIGINT and
-// stops the group once drain has returned.
-func addSignals(g *run.Group, log *eventlog.Logger, drain func()) {
+// processSignals receives the signals to the process until it exits.
+type processSignals struct {
+	// stop receives SIGTERM and SIGINT, reload SIGHUP.
+	stop, reload chan os.Signal
+}
+
+// receiveSignals returns the signals to the process from now on. The default action of a
+// signal that comes before ends the process.
+func receiveSignals() processSignals {
+	s := processSignals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+// addStop adds to the group an actor that calls drain at SIGTERM or SIGINT and stops the
+// group once drain has returned.
+func (s processSignals) addStop(g *run.Group, log *eventlog.Logger, drain func()) {
 	done := make(chan struct{})
 	g.Add(func() error {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-		defer signal.Stop(signals)
 		select {
-		case s := <-signals:
+		case s := <-s.stop:
 			log.Event(eventStopping, eventlog.Fields{"signal": s.String()})
 			drain()
 		case <-done:
@@ -103,19 +115,18 @@
 	// current holds the settings that are in effect.
 	current platform.Settings
 	apply   func(platform.Settings)
+	// signals receives a value when the process is told to read the file again.
+	signals <-chan os.Signal
 }
 
 // newSettingsWatcher returns a settingsWatcher of the file at path. current holds the
 // settings that the process has read; the file may have changed since.
-func newSettingsWatcher(path string, current platform.Settings, log *eventlog.Logger, apply func(platform.Settings)) *settingsWatcher {
-	return &settingsWatcher{path: path, log: log, current: current, apply: apply}
+func newSettingsWatcher(path string, current platform.Settings, signals <-chan os.Signal, log *eventlog.Logger, apply func(platform.Settings)) *settingsWatcher {
+	return &settingsWatcher{path: path, log: log, current: current, apply: apply, signals: signals}
 }
 
 // Run checks the file on SIGHUP and at each settingsPollInterval until ctx ends.
 func (w *settingsWatcher) Run(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	w.reload("start")
@@ -123,7 +134,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-w.signals:
 			w.reload("signal")
 		case <-ticker.C:
 			w.reload("file changed")
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -73,6 +73,7 @@
 
 // RunEntry runs an entry instance until SIGTERM or SIGINT.
 func RunEntry(o Options) error {
+	signals := receiveSignals()
 	debug.SetGCPercent(entryGCPercent)
 	settings, err := platform.ReadSettings(o.SettingsPath)
 	if err == nil {
@@ -84,7 +85,7 @@
 	log, closer := eventlog.NewBounded(o.Out, o.Level, settings.Name)
 	defer func() { _ = closer.Close() }()
 	e := newEntry(settings, o, log)
-	return e.run()
+	return e.run(signals)
 }
 
 // newEntry creates the components of an entry instance and connects them.
@@ -143,7 +144,7 @@
 }
 
 // run serves requests until SIGTERM or SIGINT.
-func (e *entry) run() error {
+func (e *entry) run(signals processSignals) error {
 	var g run.Group
 	clientListener, err := net.Listen("tcp", e.settings.Listen.Clients)
 	if err != nil {
@@ -167,7 +168,7 @@
 	if err := e.addInternalServers(&g); err != nil {
 		return err
 	}
-	watcher := newSettingsWatcher(e.options.SettingsPath, e.settings, e.log, e.applySettings)
+	watcher := newSettingsWatcher(e.options.SettingsPath, e.settings, signals.reload, e.log, e.applySettings)
 	addRunner(&g, watcher.Run)
 	addRunner(&g, e.declaredFollower.Run)
 	addRunner(&g, e.serversFollower.Run)
@@ -177,7 +178,7 @@
 	addRunner(&g, e.exchange.Run)
 	addRunner(&g, e.announceAddress)
 	addRunner(&g, e.followCatalog)
-	addSignals(&g, e.log, e.drain)
+	signals.addStop(&g, e.log, e.drain)
 	e.log.Event(eventStarted, eventlog.Fields{
 		"role": core.RoleEntry, "clients": e.settings.Listen.Clients, "peers": e.settings.Listen.Peers,
 		"dataCentre": e.settings.DataCentre, "store": e.settings.Store.Addr,
