BUDGET: a request that ends servers is kept away from them wherever it comes again

Cause: only prompt parts that several requests have were suspects. A request's last part, its body and requests to plain services were not, so nothing connected its repeats at other entry instances, and the blame fell on the parts that it shares with sound requests. Change: the request as a whole is one more part, after all others: a keyed hash of account, method, host, path with query, and body. Evidence, exchange, release and archive are those of prompt parts. It needs three ends, however close together if it has never run, as it comes to one server after the other; one of them may be explained by another request. At most 1024 are suspect, apart from the 256 parts.

--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -127,7 +127,7 @@
 	e.shareReads(catalog.TableServers, e.serversFollower)
 	e.handler = forward.New(forward.Config{
 		Headers: platform.HeaderNames(), Holder: e.catalogHolder, Scheduler: e.scheduler, Pool: e.connPool,
-		Log: log, Clock: clock, Metrics: e.metricsRegistry,
+		Log: log, Clock: clock, Metrics: e.metricsRegistry, FingerprintKey: []byte(o.Token),
 	})
 	return e
 }
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -24,39 +24,65 @@
 	// minKeptEnds is the number of ends from which a part keeps those that another part
 	// explains: the other one may turn out to have been there by chance.
 	minKeptEnds = endsOfNewPart - 1
-	// maxSuspectParts, maxEndsOfPart and maxSoundParts limit the memory.
-	maxSuspectParts = 256
-	maxEndsOfPart   = 16
-	maxSoundParts   = 4096
+	// maxSuspectParts, maxSuspectRequests, maxEndsOfPart and maxSoundParts limit the
+	// memory. Each end makes all requests at the server suspect, but few parts.
+	maxSuspectParts    = 256
+	maxSuspectRequests = 1024
+	maxEndsOfPart      = 16
+	maxSoundParts      = 4096
 )
 
+// WholeRequest is the Position of a [PromptPart] that stands for a request as a whole.
+// Only equal requests have it in common, so it is rarer than each part of the prompt.
+const WholeRequest = maxPromptPosition
+
 // MaxEndAge is the age from which the end of a server no longer counts for a part.
 const MaxEndAge = 10 * time.Minute
 
-// PromptPart is a part of a prompt that several requests may have.
+// PromptPart is a part of a prompt that several requests may have, or a request as a
+// whole, which its caller may send several times.
 type PromptPart struct {
-	// ID identifies the part together with the model.
+	// ID identifies the part together with the model, or the request by what it asks for.
 	ID string
-	// Position is the position of the part in the prompt. Later parts are rarer.
+	// Position is the position of the part in the prompt, or WholeRequest. Later parts are
+	// rarer.
 	Position int
 }
 
 // PartQuarantine finds out which part of their prompts requests have in common that
-// end the servers at which they run, and keeps requests with that part away from the
-// servers. A request may be the cause of a server's end if the server had just begun
+// end the servers at which they run, or which single request does, and keeps requests with
+// that part away from the servers. A request may be the cause of a server's end if the server had just begun
 // to respond to it or had not begun. A part is suspect while no request with it has
 // run since. Of several suspect parts the one with the most ends is quarantined, which
 // explains these ends, so that they do not count for the others. This is decided anew
 // with each end: a part is released if another one turns out to explain its ends.
 type PartQuarantine struct {
 	parts map[string]*suspectPart
-	// sound and earlierSound hold the parts of requests that have run. sound is emptied
-	// into earlierSound when it is full or soundMemory old.
-	sound, earlierSound map[string]bool
-	soundSince          time.Time
-	changes             *changeCounter
+	// soundParts holds the parts of prompts of requests that have run, and soundRequests
+	// these requests as a whole.
+	soundParts, soundRequests soundSet
+	changes                   *changeCounter
+}
+
+// soundSet is a set of what has run. It remembers an ID for soundMemory at least, if it
+// gets no more than maxSoundParts in that time.
+type soundSet struct {
+	// recent is emptied into earlier when it is full or soundMemory old.
+	recent, earlier map[string]bool
+	since           time.Time
 }
 
+// add adds an ID at time now.
+func (s *soundSet) add(id string, now time.Time) {
+	if s.recent == nil || len(s.recent) >= maxSoundParts || now.Sub(s.since) >= soundMemory {
+		s.earlier, s.recent, s.since = s.recent, map[string]bool{}, now
+	}
+	s.recent[id] = true
+}
+
+// has reports whether the set has an ID.
+func (s *soundSet) has(id string) bool { return s.recent[id] || s.earlier[id] }
+
 // suspectPart is a part that was at servers that ended.
 type suspectPart struct {
 	position int
@@ -87,7 +113,7 @@
 // NewPartQuarantine returns a quarantine without suspect parts. changes numbers its
 // changes.
 func NewPartQuarantine(changes *changeCounter) *PartQuarantine {
-	return &PartQuarantine{changes: changes, parts: map[string]*suspectPart{}, sound: map[string]bool{}, earlierSound: map[string]bool{}}
+	return &PartQuarantine{changes: changes, parts: map[string]*suspectPart{}}
 }
 
 // Holds reports whether one of the parts is quarantined at time now, and which.
@@ -109,7 +135,7 @@
 func (q *PartQuarantine) RecordEnd(boot string, parts []PromptPart, at, now time.Time) (quarantined, released []string) {
 	q.expire(now)
 	for _, part := range parts {
-		q.addEnd(part, partEnd{boot: boot, at: at}, q.knownSound(part.ID), observedHere, now)
+		q.addEnd(part, partEnd{boot: boot, at: at}, q.knownSound(part), observedHere, now)
 	}
 	return q.reassess(now)
 }
@@ -117,12 +143,9 @@
 // RecordSound records that a request with the parts has run and its server goes on.
 // It returns the parts that are no longer quarantined because of that.
 func (q *PartQuarantine) RecordSound(parts []PromptPart, now time.Time) []string {
-	if len(q.sound) >= maxSoundParts || now.Sub(q.soundSince) >= soundMemory {
-		q.earlierSound, q.sound, q.soundSince = q.sound, map[string]bool{}, now
-	}
 	var released []string
 	for _, part := range parts {
-		q.sound[part.ID] = true
+		q.soundSetOf(part).add(part.ID, now)
 		p := q.parts[part.ID]
 		if p == nil {
 			continue
@@ -141,20 +164,28 @@
 	return released
 }
 
+// soundSetOf returns the set for parts of the same kind.
+func (q *PartQuarantine) soundSetOf(part PromptPart) *soundSet {
+	if part.Position == WholeRequest {
+		return &q.soundRequests
+	}
+	return &q.soundParts
+}
+
 // knownSound reports whether a request with the part is known to have run.
-func (q *PartQuarantine) knownSound(id string) bool { return q.sound[id] || q.earlierSound[id] }
+func (q *PartQuarantine) knownSound(part PromptPart) bool { return q.soundSetOf(part).has(part.ID) }
 
 // addEnd adds an end to a part, unless it is known. An end that a quarantined part
-// explains makes no other part suspect. An end that is known becomes refuted if the new
+// explains makes no other part of a prompt suspect. An end that is known becomes refuted if the new
 // one is. If a nearer observer reports a known end, that is a change as well, because it
 // decides who passes the end on.
 func (q *PartQuarantine) addEnd(part PromptPart, end partEnd, knownSound bool, o observer, now time.Time) {
 	p := q.parts[part.ID]
 	if p == nil {
-		if end.refuted || q.explained(end.boot) {
+		if end.refuted || part.Position != WholeRequest && q.explained(end.boot) {
 			return
 		}
-		q.makeRoom()
+		q.makeRoom(part.Position == WholeRequest)
 		p = &suspectPart{position: part.Position}
 		q.parts[part.ID] = p
 	}
@@ -216,12 +247,19 @@
 // parts that are quarantined from now on, and those that are released because others
 // explain their ends.
 func (q *PartQuarantine) reassess(now time.Time) (quarantined, released []string) {
+	candidates := map[string]*suspectPart{}
+	for id, p := range q.parts {
+		if p.suspect(nil, now) {
+			candidates[id] = p
+		}
+	}
 	guilty, explained := map[string]bool{}, map[string]bool{}
-	for worst := q.mostSuspect(guilty, explained, now); worst != ""; worst = q.mostSuspect(guilty, explained, now) {
+	for worst := mostSuspect(candidates, explained, now); worst != ""; worst = mostSuspect(candidates, explained, now) {
 		guilty[worst] = true
 		for _, e := range q.parts[worst].ends {
 			explained[e.boot] = explained[e.boot] || !e.refuted
 		}
+		delete(candidates, worst)
 	}
 	for id, p := range q.parts {
 		switch {
@@ -232,7 +270,7 @@
 		}
 		p.quarantined = guilty[id]
 		p.separate = max(p.separate, p.countEnds(nil, now))
-		if !guilty[id] && p.unrefutedCount() < minKeptEnds {
+		if !guilty[id] && p.position != WholeRequest && p.unrefutedCount() < minKeptEnds {
 			p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool { return !e.refuted && explained[e.boot] })
 			p.separate = min(p.separate, p.unrefutedCount())
 		}
@@ -242,16 +280,16 @@
 	return quarantined, released
 }
 
-// mostSuspect returns the most suspect part that is not in guilty, without the explained
-// ends; empty if there is none.
-func (q *PartQuarantine) mostSuspect(guilty, explained map[string]bool, now time.Time) string {
+// mostSuspect returns the most suspect one of the candidates, without the explained ends;
+// empty if there is none.
+func mostSuspect(candidates map[string]*suspectPart, explained map[string]bool, now time.Time) string {
 	worst, worstCount := "", 0
-	for id, p := range q.parts {
-		if guilty[id] || !p.suspect(explained, now) {
+	for id, p := range candidates {
+		if !p.suspect(explained, now) {
 			continue
 		}
 		count := p.countEnds(explained, now)
-		if worst == "" || moreSuspect(id, p, count, worst, q.parts[worst], worstCount) {
+		if worst == "" || moreSuspect(id, p, count, worst, candidates[worst], worstCount) {
 			worst, worstCount = id, count
 		}
 	}
@@ -273,20 +311,38 @@
 }
 
 // suspect reports whether enough servers have ended under the part, the last one
-// within quarantineTime. The ends of the explained boots do not count.
+// within quarantineTime. The ends of the explained boots do not count, but two requests
+// that end servers may meet at one: one of the ends of a request as a whole may be
+// explained.
 func (p *suspectPart) suspect(explained map[string]bool, now time.Time) bool {
 	needed := endsOfNewPart
 	if p.knownSound {
 		needed = endsOfSoundPart
 	}
+	switch {
+	case len(p.ends) < needed:
+		return false
+	case p.position == WholeRequest:
+		return p.countEnds(nil, now) >= needed && p.countEnds(explained, now) >= needed-1
+	}
 	return p.countEnds(explained, now) >= needed
 }
 
+// minSpacing returns the least time between two ends that count separately. A request as
+// a whole that has never run comes to one server after the other, so a fault that ends
+// several servers together does not add to its ends.
+func (p *suspectPart) minSpacing() time.Duration {
+	if p.position == WholeRequest && !p.knownSound {
+		return 0
+	}
+	return minEndSpacing
+}
+
 // countEnds returns the number of ends that are neither refuted nor explained and are
-// minEndSpacing apart. It is 0 if the last one is quarantineTime ago. While none is
+// minSpacing apart. It is 0 if the last one is quarantineTime ago. While none is
 // explained, as many of them as p.separate count, even if they seem closer together.
 func (p *suspectPart) countEnds(explained map[string]bool, now time.Time) int {
-	all, spaced, separate := 0, 0, p.separate
+	all, spaced, separate, minSpacing := 0, 0, p.separate, p.minSpacing()
 	var last time.Time
 	for _, e := range p.ends {
 		if explained[e.boot] {
@@ -296,7 +352,7 @@
 			continue
 		}
 		all++
-		if spaced == 0 || e.at.Sub(last) >= minEndSpacing {
+		if spaced == 0 || e.at.Sub(last) >= minSpacing {
 			spaced++
 			last = e.at
 		}
@@ -324,20 +380,24 @@
 	}
 }
 
-// makeRoom removes the part with the oldest last end if there are maxSuspectParts.
-// Quarantined parts are removed only if there are no others.
-func (q *PartQuarantine) makeRoom() {
-	if len(q.parts) < maxSuspectParts {
-		return
-	}
-	oldest := ""
+// makeRoom removes the part with the oldest last end if there are maxSuspectParts, or that
+// of the whole requests if there are maxSuspectRequests. Quarantined ones are removed only
+// if there are no others.
+func (q *PartQuarantine) makeRoom(wholeRequests bool) {
+	count, oldest := 0, ""
 	for id, p := range q.parts {
+		if (p.position == WholeRequest) != wholeRequests {
+			continue
+		}
+		count++
 		o := q.parts[oldest]
 		if o == nil || o.quarantined && !p.quarantined || o.quarantined == p.quarantined && p.lastEnd().Before(o.lastEnd()) {
 			oldest = id
 		}
 	}
-	delete(q.parts, oldest)
+	if !wholeRequests && count >= maxSuspectParts || count >= maxSuspectRequests {
+		delete(q.parts, oldest)
+	}
 }
 
 // unrefutedCount returns the number of ends that are not refuted.
--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -22,7 +22,8 @@
 	// account allow. A server may run the request if both lists allow the region of
 	// the server; an empty list allows all regions.
 	RouteRegions, AccountRegions []string
-	// PromptParts are the parts of the prompt that other requests may have as well.
+	// PromptParts are the parts of the prompt that other requests may have as well, and
+	// then the request as a whole.
 	PromptParts []PromptPart
 	// Work is the estimated cost of the request for a server, in prompt tokens;
 	// 0 when unknown.
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -24,9 +24,9 @@
 	// ErrRetryBudget is returned when the retry budget does not allow another
 	// attempt.
 	ErrRetryBudget = errors.New("too many repeats")
-	// ErrQuarantined is returned for a request with a prompt part under which servers
-	// have ended.
-	ErrQuarantined = errors.New("servers ended under a part of the prompt")
+	// ErrQuarantined is returned for a request under which servers have ended, or under a
+	// part of whose prompt they have.
+	ErrQuarantined = errors.New("servers ended under this request or a part of its prompt")
 )
 
 // Config holds the settings of a [Scheduler].
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -14,9 +14,9 @@
 
 var (
 	eventPartQuarantined = eventlog.Define(546, "part-quarantined", logrus.WarnLevel,
-		"Servers ended one after the other under requests with one prompt part, and no request with the part has run since; requests with it are refused. The fields give the part and the number of ends.")
+		"Servers ended one after the other under requests with one prompt part, or under one request that came again, and no such request has run since; such requests are refused. The fields give the part, or the keyed hash of the request, and the number of ends.")
 	eventPartReleased = eventlog.Define(547, "part-released", logrus.WarnLevel,
-		"Requests with a quarantined prompt part are no longer refused: one ran and its server goes on, or another part explains the ends of the servers.")
+		"Requests with a quarantined prompt part, or a quarantined request, are no longer refused: one ran and its server goes on, or another part explains the ends of the servers.")
 )
 
 // Limits of what a peer may report.
@@ -123,7 +123,7 @@
 // left out. It returns the parts that are quarantined and released because of that.
 func (q *PartQuarantine) merge(parts []frame.SuspectPart, o observer, goesOn func(string, time.Time) bool, now time.Time) (quarantined, released []string, invalid error) {
 	q.expire(now)
-	for _, part := range parts[:min(len(parts), maxSuspectParts)] {
+	for _, part := range parts[:min(len(parts), maxSuspectParts+maxSuspectRequests)] {
 		if err := checkSuspectPart(part); err != nil {
 			invalid = err
 			continue
@@ -135,7 +135,7 @@
 			}
 		}
 		p := q.parts[part.ID]
-		if p != nil && !p.knownSound && q.knownSound(part.ID) {
+		if p != nil && !p.knownSound && q.knownSound(PromptPart{part.ID, part.Position}) {
 			p.knownSound = true
 			q.changes.mark(&p.changeMark, observedHere)
 		}
--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -74,6 +74,9 @@
 	Log *eventlog.Logger
 	// Clock provides the current time.
 	Clock clockwork.Clock
+	// FingerprintKey is the key for the hashes by which equal requests are recognised. All
+	// entry instances have the same.
+	FingerprintKey []byte
 	// Metrics is the registry for the counters and timers of the handler.
 	Metrics metrics.Registry
 }
--- a/request/forward/endcheck.go
+++ b/request/forward/endcheck.go
@@ -83,9 +83,6 @@
 // so it does not show that the server goes on.
 func (c *call) recordEffect(server *catalog.Server, r *attemptResult) {
 	parts := c.dispatchReq.PromptParts
-	if len(parts) == 0 {
-		return
-	}
 	survived := !r.begunAt.IsZero() && c.cfg.Clock.Now().Sub(r.begunAt) >= minSurvival
 	served := r.outcome == dispatch.Served && r.status < http.StatusMultipleChoices
 	leftRunning := r.outcome == dispatch.Cancelled || r.outcome == dispatch.Moved
@@ -100,10 +97,11 @@
 // maxLoggedParts limits the number of prompt parts in one log line.
 const maxLoggedParts = 16
 
-// clipParts returns the IDs of the parts that one log line contains.
+// clipParts returns the IDs of the parts that one log line contains, the last ones, which
+// are the rarest.
 func clipParts(parts []dispatch.PromptPart) []string {
 	ids := []string{}
-	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+	for _, part := range parts[max(0, len(parts)-maxLoggedParts):] {
 		ids = append(ids, part.ID)
 	}
 	return ids
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -84,6 +84,7 @@
 		c.refuse(refusal)
 		return
 	}
+	c.dispatchReq.PromptParts = append(c.dispatchReq.PromptParts, c.wholeRequest())
 	if refusal := c.limitToStop(); refusal != nil {
 		c.refuse(refusal)
 		return
