Requests sent again during a stop get no more time than the stop leaves

What callers could see: a request that had come before SIGTERM and was sent again in the grace gave its server the request's own time, beyond the end of the process. Cause: only requests that came after the signal were limited, once, when they came. Change: the time left is asked from the stop and the deadline at each sending (timeLeft).

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -84,8 +84,8 @@
 		c.refuse(refusal)
 		return
 	}
-	if refusal := c.limitToStop(); refusal != nil {
-		c.refuse(refusal)
+	if !c.mayBegin() {
+		c.refuse(refusalOfStop())
 		return
 	}
 	c.setWriteTimeout(c.dispatchReq.Deadline.Sub(c.dispatchReq.ArrivedAt) + writeMargin)
@@ -111,9 +111,6 @@
 	bodyReadAt time.Time
 	// dispatchReq is the description of the request for the scheduler.
 	dispatchReq dispatch.Request
-	// ownDeadline is the deadline of the request without regard to the stop of the
-	// process.
-	ownDeadline time.Time
 
 	// attemptCount is the number of attempts at servers so far.
 	attemptCount int
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -120,7 +120,7 @@
 		return r.err
 	case r.outcome == dispatch.Cancelled:
 		return errors.Wrap(errNoRetry, "ended")
-	case c.dispatchReq.Deadline.Sub(c.cfg.Clock.Now()) < minRetryTime:
+	case c.timeLeft(c.cfg.Clock.Now()) < minRetryTime:
 		return errors.Wrap(errNoRetry, "no time left")
 	case c.attemptCount >= maxAttempts:
 		return errors.Wrap(errNoRetry, "sent often enough")
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -292,7 +292,7 @@
 	if c.body != nil || c.httpReq.Method != http.MethodGet && c.httpReq.Method != http.MethodHead {
 		writeHeader("Content-Length", strconv.Itoa(len(c.body)))
 	}
-	writeHeader(names.Deadline, strconv.FormatInt(c.dispatchReq.Deadline.Sub(at).Milliseconds(), 10))
+	writeHeader(names.Deadline, strconv.FormatInt(c.timeLeft(at).Milliseconds(), 10))
 	writeHeader(names.ExpectServer, slot.Server.ID)
 	if c.account != nil {
 		writeHeader(names.Account, c.account.Name)
--- a/request/forward/stop.go
+++ b/request/forward/stop.go
@@ -74,17 +74,27 @@
 func (c *call) mayBegin() bool {
 	stop := c.stop.Load()
 	return stop == nil || len(c.mayHaveRunAt) > 0 ||
-		stop.mayBegin(c.cfg.Clock.Now(), c.ownDeadline, c.durations.usual(c.route.Name))
+		stop.mayBegin(c.cfg.Clock.Now(), c.dispatchReq.Deadline, c.durations.usual(c.route.Name))
 }
 
-// errNoTime means that a request is not sent to a server because its deadline has come.
+// timeLeft returns the time from now until the deadline of the request or the end of the
+// process's stop, whichever is earlier.
+func (c *call) timeLeft(now time.Time) time.Duration {
+	left := c.dispatchReq.Deadline.Sub(now)
+	if stop := c.stop.Load(); stop != nil {
+		left = min(left, stop.AnswerAt.Sub(now))
+	}
+	return left
+}
+
+// errNoTime means that a request is not sent to a server because no time is left for it.
 var errNoTime = errors.New("no time left")
 
-// checkTime returns why the request must not be sent to a server at the given time: its
-// deadline has come, or the process stops too soon. It returns nil if it may be sent.
+// checkTime returns why the request must not be sent to a server at the given time: no
+// time is left, or the process stops too soon. It returns nil if it may be sent.
 func (c *call) checkTime(now time.Time) error {
 	switch {
-	case c.dispatchReq.Deadline.Sub(now) < time.Millisecond:
+	case c.timeLeft(now) < time.Millisecond:
 		return errNoTime
 	case !c.mayBegin():
 		return errStopping
@@ -92,19 +102,6 @@
 	return nil
 }
 
-// limitToStop returns a refusal if the process stops too soon for the request. Otherwise it
-// limits the request's deadline to the time that is left.
-func (c *call) limitToStop() *refusal {
-	c.ownDeadline = c.dispatchReq.Deadline
-	if !c.mayBegin() {
-		return refusalOfStop()
-	}
-	if stop := c.stop.Load(); stop != nil && stop.AnswerAt.Before(c.dispatchReq.Deadline) {
-		c.dispatchReq.Deadline = stop.AnswerAt
-	}
-	return nil
-}
-
 // usualDurations estimates how long the responses of each route usually take at most. It
 // is safe for concurrent use.
 type usualDurations struct {
--- a/request/forward/stop_test.go
+++ b/request/forward/stop_test.go
@@ -99,6 +99,26 @@
 		})
 	}
 
+	Convey("A server that gets a request again during a stop gets no more time than the stop leaves", t, func() {
+		var f *handlerFixture
+		breaking := newServer(t, "breaking", func(r receivedRequest, n int) string {
+			if n == 1 {
+				now := time.Now()
+				f.handler.BeginStop(Stop{BegunAt: now, AcceptUntil: now.Add(time.Second), AnswerAt: now.Add(time.Second)})
+				return ""
+			}
+			return fullResponse(r, http.StatusOK, "lot 7")
+		})
+		other := newOKServer(t, "other")
+		f = newFixture(t, nil, breaking, other)
+		So(wait.Until(func() bool {
+			return f.send(t, http.MethodPost, "/safe/", "", "X-Deadline", "5000").status == http.StatusOK && breaking.requestCount() == 1
+		}), ShouldBeTrue)
+		ms, err := strconv.Atoi(other.lastRequest().req.Header.Get("X-Deadline"))
+		So(err, ShouldBeNil)
+		So(ms, ShouldBeBetweenOrEqual, 1, 1000)
+	})
+
 	Convey("Whether a request may begin depends on the time that is left", t, func() {
 		begunAt := time.Unix(1000, 0)
 		at := func(s float64) time.Time { return begunAt.Add(time.Duration(s * float64(time.Second))) }
