A refusal because of a stop says to wait only while new connections may come here

Cause: one pause for all refusals of an instance that cannot serve. Change: Retry-After until the load balancer knows of the stop, none after that.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -85,7 +85,7 @@
 		return
 	}
 	if !c.mayBegin() {
-		c.refuse(refusalOfStop())
+		c.refuse(c.refusalOfStop())
 		return
 	}
 	c.setWriteTimeout(c.dispatchReq.Deadline.Sub(c.dispatchReq.ArrivedAt) + writeMargin)
@@ -293,7 +293,7 @@
 	defer context.AfterFunc(c.ending, giveUp)()
 	body, err := io.ReadAll(io.LimitReader(c.httpReq.Body, limit+1))
 	if err != nil && c.ended() {
-		return refusalOfStop()
+		return c.refusalOfStop()
 	}
 	if err == nil {
 		err = conn.SetReadDeadline(time.Time{})
--- a/request/forward/latebody_test.go
+++ b/request/forward/latebody_test.go
@@ -74,6 +74,8 @@
 		r := read()
 		So(r.err, ShouldBeNil)
 		So(r.status, ShouldEqual, http.StatusServiceUnavailable)
+		// Other instances get the client's next connection, so it need not wait.
+		So(r.header.Get("Retry-After"), ShouldBeEmpty)
 		So(time.Since(now), ShouldBeLessThan, 2*time.Second)
 		So(server.requestCount(), ShouldEqual, 0)
 	})
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -160,7 +160,7 @@
 	late := ctx.Err() != nil || errors.Is(cause, errNoTime)
 	switch {
 	case len(c.mayHaveRunAt) == 0 && (c.ended() || !c.mayBegin()):
-		c.refuse(refusalOfStop())
+		c.refuse(c.refusalOfStop())
 	case c.ended():
 		c.fail(http.StatusGatewayTimeout, "no answer before the instance stops")
 	case len(c.mayHaveRunAt) == 0 && late:
--- a/request/forward/stop.go
+++ b/request/forward/stop.go
@@ -63,9 +63,15 @@
 // before the response would be complete.
 var errStopping = errors.New("the instance stops")
 
-// refusalOfStop returns the refusal of a request that no server has run.
-func refusalOfStop() *refusal {
-	return &refusal{http.StatusServiceUnavailable, errStopping.Error(), retryAfterUnready}
+// refusalOfStop returns the refusal of a request that no server has run. Until
+// Stop.AcceptUntil, the client's next connection may come to this instance again, so it is
+// told to wait; after that, other instances get it.
+func (c *call) refusalOfStop() *refusal {
+	r := &refusal{status: http.StatusServiceUnavailable, reason: errStopping.Error()}
+	if left := c.stop.Load().AcceptUntil.Sub(c.cfg.Clock.Now()); left > 0 {
+		r.retryAfter = min(left, retryAfterUnready)
+	}
+	return r
 }
 
 // mayBegin reports whether the planned stop of the process, if there is one, leaves enough
