--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -85,8 +85,8 @@
 		return
 	}
 	c.dispatchReq.PromptParts = append(c.dispatchReq.PromptParts, c.wholeRequest())
-	if refusal := c.limitToStop(); refusal != nil {
-		c.refuse(refusal)
+	if !c.mayBegin() {
+		c.refuse(c.refusalOfStop())
 		return
 	}
 	c.setWriteTimeout(c.dispatchReq.Deadline.Sub(c.dispatchReq.ArrivedAt) + writeMargin)
@@ -112,9 +112,6 @@
 	bodyReadAt time.Time
 	// dispatchReq is the description of the request for the scheduler.
 	dispatchReq dispatch.Request
-	// ownDeadline is the deadline of the request without regard to the stop of the
-	// process.
-	ownDeadline time.Time
 
 	// attemptCount is the number of attempts at servers so far.
 	attemptCount int
@@ -297,7 +294,7 @@
 	defer context.AfterFunc(c.ending, giveUp)()
 	body, err := io.ReadAll(io.LimitReader(c.httpReq.Body, limit+1))
 	if err != nil && c.ended() {
-		return refusalOfStop()
+		return c.refusalOfStop()
 	}
 	if err == nil {
 		err = conn.SetReadDeadline(time.Time{})
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -120,7 +120,7 @@
 		return r.err
 	case r.outcome == dispatch.Cancelled:
 		return errors.Wrap(errNoRetry, "ended")
-	case c.dispatchReq.Deadline.Sub(c.cfg.Clock.Now()) < minRetryTime:
+	case c.timeLeft(c.cfg.Clock.Now()) < minRetryTime:
 		return errors.Wrap(errNoRetry, "no time left")
 	case c.attemptCount >= maxAttempts:
 		return errors.Wrap(errNoRetry, "sent often enough")
@@ -160,7 +160,7 @@
 	late := ctx.Err() != nil || errors.Is(cause, errNoTime)
 	switch {
 	case len(c.mayHaveRunAt) == 0 && (c.ended() || !c.mayBegin()):
-		c.refuse(refusalOfStop())
+		c.refuse(c.refusalOfStop())
 	case c.ended():
 		c.fail(http.StatusGatewayTimeout, "no answer before the instance stops")
 	case len(c.mayHaveRunAt) == 0 && late:
