--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -19,6 +19,7 @@
 	// One more end renews the quarantine for as long as endMemory keeps the earlier ones.
 	quarantineTime = 2 * time.Minute
 	endMemory      = MaxEndAge
+	expireInterval = time.Second
 	// soundMemory is how long a part is known to have run, at least.
 	soundMemory = time.Minute
 	// minKeptEnds is the number of ends from which a part keeps those that another part
@@ -62,6 +63,10 @@
 	// these requests as a whole.
 	soundParts, soundRequests soundSet
 	changes                   *changeCounter
+	// reassessDue is true if something has changed since the last reassess.
+	reassessDue bool
+	// expiredAt is when expire last removed parts.
+	expiredAt time.Time
 }
 
 // soundSet is a set of what has run. It remembers an ID for soundMemory at least, if it
@@ -192,11 +197,13 @@
 	if knownSound && !p.knownSound {
 		p.knownSound = true
 		q.changes.mark(&p.changeMark, o)
+		q.reassessDue = true
 	}
 	i := p.indexOfEnd(end.boot)
 	if i >= 0 && end.at.Before(p.ends[i].at) {
 		// A reported end seems later by the time that the report was on its way.
 		p.ends[i].at = end.at
+		q.reassessDue = true
 		p.sortEnds()
 		i = p.indexOfEnd(end.boot)
 	}
@@ -215,6 +222,7 @@
 		p.ends = p.ends[max(0, len(p.ends)-maxEndsOfPart):]
 	}
 	q.changes.mark(&p.changeMark, o)
+	q.reassessDue = true
 }
 
 // explained reports whether a boot ended under a part that is quarantined.
@@ -247,6 +255,7 @@
 // parts that are quarantined from now on, and those that are released because others
 // explain their ends.
 func (q *PartQuarantine) reassess(now time.Time) (quarantined, released []string) {
+	q.reassessDue = false
 	candidates := map[string]*suspectPart{}
 	for id, p := range q.parts {
 		if p.suspect(nil, now) {
@@ -269,7 +278,9 @@
 			released = append(released, id)
 		}
 		p.quarantined = guilty[id]
-		p.separate = max(p.separate, p.countEnds(nil, now))
+		if p.separate < len(p.ends) {
+			p.separate = max(p.separate, p.countEnds(nil, now))
+		}
 		if !guilty[id] && p.position != WholeRequest && p.unrefutedCount() < minKeptEnds {
 			p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool { return !e.refuted && explained[e.boot] })
 			p.separate = min(p.separate, p.unrefutedCount())
@@ -371,8 +382,13 @@
 	return p.ends[len(p.ends)-1].at
 }
 
-// expire removes the parts without an end within endMemory.
+// expire removes the parts without an end within endMemory, at most once in each
+// expireInterval.
 func (q *PartQuarantine) expire(now time.Time) {
+	if now.Sub(q.expiredAt) < expireInterval {
+		return
+	}
+	q.expiredAt = now
 	for id, p := range q.parts {
 		if now.Sub(p.lastEnd()) >= endMemory {
 			delete(q.parts, id)
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -138,11 +138,17 @@
 		if p != nil && !p.knownSound && q.knownSound(PromptPart{part.ID, part.Position}) {
 			p.knownSound = true
 			q.changes.mark(&p.changeMark, observedHere)
+			q.reassessDue = true
 		}
 		if p != nil && part.Separate > p.separate && part.Separate <= p.unrefutedCount() {
 			p.separate = part.Separate
+			q.reassessDue = true
 		}
 	}
+	if !q.reassessDue {
+		// Most reports reach an entry instance over several others.
+		return nil, nil, invalid
+	}
 	quarantined, released = q.reassess(now)
 	return quarantined, released, invalid
 }
