A whole request needs three ends even if it has run before

What callers could see: a request that ran well, and later ends servers, reached five of them before it was kept away; the users' bound counts three, whatever was before. Cause: knownSound demanded endsOfSoundPart of whole requests too. Change: five ends apply to parts of prompts only. Evidence: the new case of TestQuarantineOfRequests fails without the change (not refused after three ends) and passes with it.

--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -8,8 +8,9 @@
 // Parameters of a [PartQuarantine].
 const (
 	// endsOfNewPart is the number of servers that must have ended under a part before
-	// the part is quarantined, if no request with the part is known to have run.
-	// endsOfSoundPart applies if requests with the part have run before.
+	// the part is quarantined, if no request with the part is known to have run, or if the
+	// part is a whole request. endsOfSoundPart applies to parts of prompts with which
+	// requests have run before.
 	endsOfNewPart   = 3
 	endsOfSoundPart = 5
 	// minEndSpacing is the least time between two ends that count separately. Servers
@@ -327,7 +328,7 @@
 // explained.
 func (p *suspectPart) suspect(explained map[string]bool, now time.Time) bool {
 	needed := endsOfNewPart
-	if p.knownSound {
+	if p.knownSound && p.position != WholeRequest {
 		needed = endsOfSoundPart
 	}
 	switch {
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -377,6 +377,17 @@
 		}
 		So(holds(q, start, whole("often sent")), ShouldBeFalse)
 	})
+	Convey("A request that has run before needs no more ends, if they are apart and it does not run in between", t, func() {
+		q := NewPartQuarantine(&changeCounter{})
+		q.RecordSound(whole("crashing"), start)
+		at := start
+		for i := range endsOfNewPart {
+			So(holds(q, at, whole("crashing")), ShouldBeFalse)
+			at = at.Add(minEndSpacing)
+			q.RecordEnd(fmt.Sprint("s", i), whole("crashing"), at, at)
+		}
+		So(holds(q, at, whole("crashing")), ShouldBeTrue)
+	})
 	Convey("What an entry instance knows of a request reaches another one", t, func() {
 		q, peer := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
 		for i := range endsOfNewPart {
