A request that ends servers stays quarantined for as long as its ends are remembered

What callers could see: a request that kept coming ended one more server each 2 min, when its quarantine had passed; sound requests at that server broke off. Cause: the time of prompt parts, which many sound requests may share, applied to it.

--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -18,9 +18,12 @@
 	minEndSpacing = 100 * time.Millisecond
 	// quarantineTime is how long a part stays quarantined after the last end under it.
 	// One more end renews the quarantine for as long as endMemory keeps the earlier ones.
-	quarantineTime = 2 * time.Minute
-	endMemory      = MaxEndAge
-	expireInterval = time.Second
+	// A whole request stays so for requestQuarantineTime: nobody but its caller has to do
+	// without it, and a trial costs a server.
+	quarantineTime        = 2 * time.Minute
+	requestQuarantineTime = endMemory
+	endMemory             = MaxEndAge
+	expireInterval        = time.Second
 	// soundMemory is how long a part is known to have run, at least.
 	soundMemory = time.Minute
 	// minKeptEnds is the number of ends from which a part keeps those that another part
@@ -323,7 +326,7 @@
 }
 
 // suspect reports whether enough servers have ended under the part, the last one
-// within quarantineTime. The ends of the explained boots do not count, but two requests
+// within p.quarantineTime. The ends of the explained boots do not count, but two requests
 // that end servers may meet at one: one of the ends of a request as a whole may be
 // explained.
 func (p *suspectPart) suspect(explained map[string]bool, now time.Time) bool {
@@ -350,8 +353,16 @@
 	return minEndSpacing
 }
 
+// quarantineTime returns how long the part stays quarantined after the last end.
+func (p *suspectPart) quarantineTime() time.Duration {
+	if p.position == WholeRequest {
+		return requestQuarantineTime
+	}
+	return quarantineTime
+}
+
 // countEnds returns the number of ends that are neither refuted nor explained and are
-// minSpacing apart. It is 0 if the last one is quarantineTime ago. While none is
+// minSpacing apart. It is 0 if the last one is p.quarantineTime ago. While none is
 // explained, as many of them as p.separate count, even if they seem closer together.
 func (p *suspectPart) countEnds(explained map[string]bool, now time.Time) int {
 	all, spaced, separate, minSpacing := 0, 0, p.separate, p.minSpacing()
@@ -369,7 +380,7 @@
 			last = e.at
 		}
 	}
-	if now.Sub(last) >= quarantineTime {
+	if now.Sub(last) >= p.quarantineTime() {
 		return 0
 	}
 	return max(spaced, min(separate, all))
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -388,6 +388,14 @@
 		}
 		So(holds(q, at, whole("crashing")), ShouldBeTrue)
 	})
+	Convey("The quarantine of a request lasts as long as its ends are remembered", t, func() {
+		q := NewPartQuarantine(&changeCounter{})
+		for i := range endsOfNewPart {
+			q.RecordEnd(fmt.Sprint("s", i), whole("crashing"), start, start)
+		}
+		So(holds(q, start.Add(endMemory-time.Millisecond), whole("crashing")), ShouldBeTrue)
+		So(holds(q, start.Add(endMemory), whole("crashing")), ShouldBeFalse)
+	})
 	Convey("What an entry instance knows of a request reaches another one", t, func() {
 		q, peer := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
 		for i := range endsOfNewPart {
