The time left is read once for each sending

What a reviewer of the stop found: the time left was read for the check and again for the header; the end of a stop between the two gave a server a negative time. Change: one value serves both. Evidence: by reading; go test ./request/forward -run 'Stop|BodyThat|Head' passes.

--- a/request/forward/latebody_test.go
+++ b/request/forward/latebody_test.go
@@ -60,9 +60,9 @@
 		now := time.Now()
 		c := call{Handler: f.handler}
 		c.dispatchReq.Deadline = now.Add(time.Millisecond)
-		So(c.checkTime(now), ShouldBeNil)
-		So(c.checkTime(now.Add(time.Microsecond)), ShouldEqual, errNoTime)
-		So(c.checkTime(now.Add(time.Hour)), ShouldEqual, errNoTime)
+		So(c.checkTime(c.timeLeft(now)), ShouldBeNil)
+		So(c.checkTime(c.timeLeft(now.Add(time.Microsecond))), ShouldEqual, errNoTime)
+		So(c.checkTime(c.timeLeft(now.Add(time.Hour))), ShouldEqual, errNoTime)
 	})
 
 	Convey("A body that is not complete at the end of a stop gets 503 then", t, func() {
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -102,11 +102,12 @@
 		return c.markEnded(ctx, attemptResult{outcome: dispatch.Outdated, err: errOutdated})
 	}
 	reused, sentAt := conn.Used(), c.cfg.Clock.Now()
-	if err := c.checkTime(sentAt); err != nil {
+	left := c.timeLeft(sentAt)
+	if err := c.checkTime(left); err != nil {
 		conn.Close()
 		return attemptResult{outcome: dispatch.Cancelled, err: err}
 	}
-	resp, err := conn.Do(ctx, c.requestHead(slot, sentAt), c.httpReq, c.body, c.isFinalResponse)
+	resp, err := conn.Do(ctx, c.requestHead(slot, left), c.httpReq, c.body, c.isFinalResponse)
 	if errors.Is(err, backend.ErrNotSent) {
 		conn.Close()
 		return attemptResult{outcome: dispatch.Broken, err: err}
@@ -266,9 +267,9 @@
 	}
 }
 
-// requestHead returns the request line and the header to send to the server at the given
-// time.
-func (c *call) requestHead(slot dispatch.Slot, at time.Time) string {
+// requestHead returns the request line and the header to send to the server. left is the
+// time until the deadline.
+func (c *call) requestHead(slot dispatch.Slot, left time.Duration) string {
 	names := &c.cfg.Headers
 	var b strings.Builder
 	b.Grow(512)
@@ -292,7 +293,7 @@
 	if c.body != nil || c.httpReq.Method != http.MethodGet && c.httpReq.Method != http.MethodHead {
 		writeHeader("Content-Length", strconv.Itoa(len(c.body)))
 	}
-	writeHeader(names.Deadline, strconv.FormatInt(c.timeLeft(at).Milliseconds(), 10))
+	writeHeader(names.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	writeHeader(names.ExpectServer, slot.Server.ID)
 	if c.account != nil {
 		writeHeader(names.Account, c.account.Name)
--- a/request/forward/stop.go
+++ b/request/forward/stop.go
@@ -95,11 +95,11 @@
 // errNoTime means that a request is not sent to a server because no time is left for it.
 var errNoTime = errors.New("no time left")
 
-// checkTime returns why the request must not be sent to a server at the given time: no
-// time is left, or the process stops too soon. It returns nil if it may be sent.
-func (c *call) checkTime(now time.Time) error {
+// checkTime returns why the request must not be sent to a server with the time that is
+// left: there is none, or the process stops too soon. It returns nil if it may be sent.
+func (c *call) checkTime(left time.Duration) error {
 	switch {
-	case c.timeLeft(now) < time.Millisecond:
+	case left < time.Millisecond:
 		return errNoTime
 	case !c.mayBegin():
 		return errStopping
