A peer that has just started quarantines no request that is known to be sound elsewhere

An entry instance that had just started did not know that it runs well, counted the ends without their spacing and passed that count on; the others adopted it and refused the request for 10 min. Change: such a count is dropped when a whole request turns out to be known as sound, and not adopted where it is. Evidence: a new case of TestQuarantineOfRequests fails before and passes now.

--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -199,9 +199,7 @@
 		q.parts[part.ID] = p
 	}
 	if knownSound && !p.knownSound {
-		p.knownSound = true
-		q.changes.mark(&p.changeMark, o)
-		q.reassessDue = true
+		q.markKnownSound(p, o)
 	}
 	i := p.indexOfEnd(end.boot)
 	if i >= 0 && end.at.Before(p.ends[i].at) {
@@ -229,6 +227,17 @@
 	q.reassessDue = true
 }
 
+// markKnownSound records that requests with a part had run before servers ended.
+func (q *PartQuarantine) markKnownSound(p *suspectPart, o observer) {
+	p.knownSound = true
+	if p.position == WholeRequest {
+		// Its ends counted separately without regard to their times.
+		p.separate = 0
+	}
+	q.changes.mark(&p.changeMark, o)
+	q.reassessDue = true
+}
+
 // explained reports whether a boot ended under a part that is quarantined.
 func (q *PartQuarantine) explained(boot string) bool {
 	for _, p := range q.parts {
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -388,6 +388,23 @@
 		}
 		So(holds(q, at, whole("crashing")), ShouldBeTrue)
 	})
+	Convey("A request that is known to be sound here is not quarantined because of a peer that has just started", t, func() {
+		never := func(string, time.Time) bool { return false }
+		q, fresh := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
+		q.RecordSound(whole("often sent"), start)
+		for i := range endsOfNewPart {
+			fresh.RecordEnd(fmt.Sprint("s", i), whole("often sent"), start, start)
+		}
+		So(holds(fresh, start, whole("often sent")), ShouldBeTrue)
+		for range 2 {
+			_, _, err := q.merge(fresh.changedSince(0, exchange.ObservedAnywhere, start), observedNear, never, start)
+			So(err, ShouldBeNil)
+			So(holds(q, start, whole("often sent")), ShouldBeFalse)
+			_, _, err = fresh.merge(q.changedSince(0, exchange.ObservedAnywhere, start), observedNear, never, start)
+			So(err, ShouldBeNil)
+			So(holds(fresh, start, whole("often sent")), ShouldBeFalse)
+		}
+	})
 	Convey("The quarantine of a request lasts as long as its ends are remembered", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
 		for i := range endsOfNewPart {
@@ -420,7 +437,7 @@
 	}{
 		{"one request, 4 entry instances", 2, 4, 3, 24, 1, 4, 3, 20 * time.Second},
 		{"five requests, 4 entry instances", 2, 4, 3, 24, 5, 8, 3, 20 * time.Second},
-		{"four requests, 59 entry instances in five data centres", 1, 59, 5, 138, 4, 12, 3, 8 * time.Second},
+		{"ten requests, 59 entry instances in five data centres", 2, 59, 5, 138, 10, 12, 3, 8 * time.Second},
 	} {
 		Convey("Given "+d.name, t, func() {
 			var sound, refused int
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -136,11 +136,12 @@
 		}
 		p := q.parts[part.ID]
 		if p != nil && !p.knownSound && q.knownSound(PromptPart{part.ID, part.Position}) {
-			p.knownSound = true
-			q.changes.mark(&p.changeMark, observedHere)
-			q.reassessDue = true
+			q.markKnownSound(p, observedHere)
 		}
-		if p != nil && part.Separate > p.separate && part.Separate <= p.unrefutedCount() {
+		// A peer that does not know that a whole request is sound counts its ends without
+		// regard to their times.
+		mayAdopt := p != nil && (p.position != WholeRequest || !p.knownSound || part.KnownSound)
+		if mayAdopt && part.Separate > p.separate && part.Separate <= p.unrefutedCount() {
 			p.separate = part.Separate
 			q.reassessDue = true
 		}
