Every complete response clears a request, not only a 2xx with a length

What callers could see, found by a reviewer: a request that always gets 404, or a response that ends with its connection, was never seen to run well. Three ends of servers within 10 min, each for a reason of its own, refused it to all who send it. Cause: what clears the parts of a prompt (a 2xx response with a length) was asked of whole requests too. Change: any complete response clears the whole request. One that ends with its connection does once the check of the server finds that it goes on. The check limits prompt parts and whole requests apart, so that long prompts at a server leave room for the request itself. Evidence: TestCompleteResponsesClearRequests fails before (three kinds, 503) and passes now.

--- a/connection/backend/pool.go
+++ b/connection/backend/pool.go
@@ -61,15 +61,16 @@
 	}, nil
 }
 
-// Refuses opens a connection to addr and closes it again. It reports whether the
-// machine refused the connection, because no process listens at addr.
-func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+// Probe opens a connection to addr and closes it again. It reports whether the connection
+// was accepted, and whether the machine refused it because no process listens at addr;
+// neither is true if the machine does not answer.
+func (p *Pool) Probe(ctx context.Context, addr string) (accepted, refused bool) {
 	conn, err := dial.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = conn.Close()
-	return false
+	return true, false
 }
 
 // takeIdle removes the most recently used idle connection to addr and returns it,
--- a/request/forward/endcheck_test.go
+++ b/request/forward/endcheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -93,12 +94,38 @@
 	})
 }
 
+// Guards against requests that are refused for 10 min because nothing but a 2xx response with
+// a length ever cleared them.
+func TestCompleteResponsesClearRequests(t *testing.T) {
+	for name, respond := range map[string]func(receivedRequest, int) string{
+		"status 404": func(r receivedRequest, _ int) string { return fullResponse(r, http.StatusNotFound, "none") },
+		"status 500": func(r receivedRequest, _ int) string { return fullResponse(r, http.StatusInternalServerError, "failed") },
+		"status 200 and no length": func(r receivedRequest, n int) string {
+			return respondWithoutLength("HTTP/1.1", "", "lot 7", false)(r, n)
+		},
+	} {
+		Convey("Servers that end long apart under equal requests, which otherwise get "+name+", quarantine nothing", t, func() {
+			f := newFixture(t, nil, newServer(t, "s", respond))
+			req, err := http.NewRequest(http.MethodPost, "http://example/unsafe/", nil)
+			So(err, ShouldBeNil)
+			req.RequestURI = "/unsafe/"
+			request := []dispatch.PromptPart{{ID: wholeRequestPrefix + fingerprint(nil, "growers", req, nil), Position: dispatch.WholeRequest}}
+			for i := range 4 {
+				f.scheduler.RecordServerEnd(strconv.Itoa(i), request, time.Now().Add(time.Duration(i-4)*time.Second))
+				o := f.send(t, http.MethodPost, "/unsafe/", "")
+				So(o.status, ShouldNotEqual, http.StatusServiceUnavailable)
+				So(wait.Until(func() bool { return len(f.handler.endChecksInProgress()) == 0 }), ShouldBeTrue)
+			}
+		})
+	}
+}
+
 // endChecksInProgress returns the boots of the servers that are being checked.
 func (h *Handler) endChecksInProgress() []string {
 	h.endChecks.mu.Lock()
 	defer h.endChecks.mu.Unlock()
 	var boots []string
-	for boot := range h.endChecks.partsAtRisk {
+	for boot := range h.endChecks.running {
 		boots = append(boots, boot)
 	}
 	return boots
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -56,7 +56,7 @@
 		return metrics.GetOrRegisterTimer("requests."+name+".nanoseconds", cfg.Metrics)
 	}
 	ending, end := context.WithCancel(context.Background())
-	return &Handler{cfg: cfg, ending: ending, end: end, durations: newUsualDurations(), endChecks: endChecks{partsAtRisk: map[string][]dispatch.PromptPart{}}, stats: stats{
+	return &Handler{cfg: cfg, ending: ending, end: end, durations: newUsualDurations(), endChecks: endChecks{running: map[string]*endCheck{}}, stats: stats{
 		answered: count("answered"), refused: count("refused"), failed: count("failed"),
 		clientLeft: count("left"), attempts: count("sent"),
 		serversEnded: metrics.GetOrRegisterCounter("servers.ended", cfg.Metrics),
