Retry-After of a quarantined request names the end of the quarantine

What callers saw, found by a reviewer: 2 min, also for a whole request, which is refused for 10. Evidence: the new lines of TestQuarantineOfRequests.

--- a/request/dispatch/pause.go
+++ b/request/dispatch/pause.go
@@ -143,11 +143,11 @@
 // of err. If every server that can run the request is paused, also those that it has
 // tried, it follows the earliest end of the pauses.
 func (s *Scheduler) RetryAfter(req *Request, err error) time.Duration {
-	if errors.Is(err, ErrQuarantined) {
-		return RetryAfter(err)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if errors.Is(err, ErrQuarantined) {
+		return max(s.quarantine.heldFor(req.PromptParts, s.clock.Now()), RetryAfter(err))
+	}
 	fresh := *req
 	fresh.TriedServers = nil
 	if end, paused := earliestPauseEnd(s.candidates(&fresh)); paused {
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -73,25 +73,6 @@
 	expiredAt time.Time
 }
 
-// soundSet is a set of what has run. It remembers an ID for soundMemory at least, if it
-// gets no more than maxSoundParts in that time.
-type soundSet struct {
-	// recent is emptied into earlier when it is full or soundMemory old.
-	recent, earlier map[string]bool
-	since           time.Time
-}
-
-// add adds an ID at time now.
-func (s *soundSet) add(id string, now time.Time) {
-	if s.recent == nil || len(s.recent) >= maxSoundParts || now.Sub(s.since) >= soundMemory {
-		s.earlier, s.recent, s.since = s.recent, map[string]bool{}, now
-	}
-	s.recent[id] = true
-}
-
-// has reports whether the set has an ID.
-func (s *soundSet) has(id string) bool { return s.recent[id] || s.earlier[id] }
-
 // suspectPart is a part that was at servers that ended.
 type suspectPart struct {
 	position int
@@ -138,6 +119,17 @@
 	return "", false
 }
 
+// heldFor returns how long the parts that are quarantined now stay so; 0 if none is.
+func (q *PartQuarantine) heldFor(parts []PromptPart, now time.Time) time.Duration {
+	var longest time.Duration
+	for _, part := range parts {
+		if p := q.parts[part.ID]; p != nil && p.quarantined {
+			longest = max(longest, p.lastEnd().Add(p.quarantineTime()).Sub(now))
+		}
+	}
+	return longest
+}
+
 // RecordEnd records that a boot of a server ended at time at, with requests there
 // that have the parts and may be the cause. It returns the parts that are quarantined
 // and released because of that.
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -412,6 +412,9 @@
 		}
 		So(holds(q, start.Add(endMemory-time.Millisecond), whole("crashing")), ShouldBeTrue)
 		So(holds(q, start.Add(endMemory), whole("crashing")), ShouldBeFalse)
+		// Retry-After names that time.
+		So(q.heldFor(whole("crashing"), start.Add(time.Minute)), ShouldEqual, endMemory-time.Minute)
+		So(q.heldFor(whole("another"), start), ShouldEqual, 0)
 	})
 	Convey("What an entry instance knows of a request reaches another one", t, func() {
 		q, peer := NewPartQuarantine(&changeCounter{}), NewPartQuarantine(&changeCounter{})
--- a/request/forward/endcheck_test.go
+++ b/request/forward/endcheck_test.go
@@ -99,7 +99,9 @@
 func TestCompleteResponsesClearRequests(t *testing.T) {
 	for name, respond := range map[string]func(receivedRequest, int) string{
 		"status 404": func(r receivedRequest, _ int) string { return fullResponse(r, http.StatusNotFound, "none") },
-		"status 500": func(r receivedRequest, _ int) string { return fullResponse(r, http.StatusInternalServerError, "failed") },
+		"status 500": func(r receivedRequest, _ int) string {
+			return fullResponse(r, http.StatusInternalServerError, "failed")
+		},
 		"status 200 and no length": func(r receivedRequest, n int) string {
 			return respondWithoutLength("HTTP/1.1", "", "lot 7", false)(r, n)
 		},
@@ -120,6 +122,19 @@
 	}
 }
 
+// Guards against long prompts that leave no room for the request that ends the server.
+func TestPartsAtRiskAreLimitedByKind(t *testing.T) {
+	Convey("Requests with many prompt parts are recorded as a whole as well, and both are limited", t, func() {
+		var check endCheck
+		for i := range 2 * maxPartsAtRisk {
+			check.add([]dispatch.PromptPart{{ID: "m/" + strconv.Itoa(i)}, {ID: strconv.Itoa(i), Position: dispatch.WholeRequest}}, i%2 == 0)
+		}
+		So(check.atRisk, ShouldHaveLength, 2*maxPartsAtRisk)
+		So(check.atRisk, ShouldContain, dispatch.PromptPart{ID: "0", Position: dispatch.WholeRequest})
+		So(check.completed, ShouldHaveLength, 2*maxPartsAtRisk)
+	})
+}
+
 // endChecksInProgress returns the boots of the servers that are being checked.
 func (h *Handler) endChecksInProgress() []string {
 	h.endChecks.mu.Lock()
