A request that is known to run well needs five ends and is tried again after 2 min

What callers could see, found by a reviewer: under a crash loop with other causes (cold servers beyond their rate), the most frequent identical request was at every end and was refused for 10 min with no trial, though it runs well; and each complete response without a length opened a connection to its server for a check. Cause: whole requests had a stricter rule than parts even where a run had cleared them, and the check of a server's end did not ask whether the request is suspect at all. The users' bound allows three sendings after the third end, so five ends keep it. A complete response without a length causes a check only if the request is suspect or names parts.

--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -8,9 +8,8 @@
 // Parameters of a [PartQuarantine].
 const (
 	// endsOfNewPart is the number of servers that must have ended under a part before
-	// the part is quarantined, if no request with the part is known to have run, or if the
-	// part is a whole request. endsOfSoundPart applies to parts of prompts with which
-	// requests have run before.
+	// the part is quarantined, if no request with the part is known to have run.
+	// endsOfSoundPart applies if requests with the part have run before.
 	endsOfNewPart   = 3
 	endsOfSoundPart = 5
 	// minEndSpacing is the least time between two ends that count separately. Servers
@@ -18,8 +17,8 @@
 	minEndSpacing = 100 * time.Millisecond
 	// quarantineTime is how long a part stays quarantined after the last end under it.
 	// One more end renews the quarantine for as long as endMemory keeps the earlier ones.
-	// A whole request stays so for requestQuarantineTime: nobody but its caller has to do
-	// without it, and a trial costs a server.
+	// A whole request that has never run stays so for requestQuarantineTime: nobody but its
+	// caller has to do without it, and a trial costs a server.
 	quarantineTime        = 2 * time.Minute
 	requestQuarantineTime = endMemory
 	endMemory             = MaxEndAge
@@ -332,7 +331,7 @@
 // explained.
 func (p *suspectPart) suspect(explained map[string]bool, now time.Time) bool {
 	needed := endsOfNewPart
-	if p.knownSound && p.position != WholeRequest {
+	if p.knownSound {
 		needed = endsOfSoundPart
 	}
 	switch {
@@ -356,7 +355,7 @@
 
 // quarantineTime returns how long the part stays quarantined after the last end.
 func (p *suspectPart) quarantineTime() time.Duration {
-	if p.position == WholeRequest {
+	if p.position == WholeRequest && !p.knownSound {
 		return requestQuarantineTime
 	}
 	return quarantineTime
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -42,6 +42,13 @@
 	s.applyVerdict(nil, s.quarantine.RecordSound(parts, s.clock.Now()))
 }
 
+// IsSuspect reports whether servers have ended under the part.
+func (s *Scheduler) IsSuspect(part PromptPart) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.parts[part.ID] != nil
+}
+
 // lastResponses returns when the listed boots of servers last sent something to this
 // entry instance, without those that have not. The caller holds s.mu.
 func (s *Scheduler) lastResponses() map[string]time.Time {
--- a/request/forward/endcheck.go
+++ b/request/forward/endcheck.go
@@ -123,13 +123,17 @@
 	survived := !r.begunAt.IsZero() && c.cfg.Clock.Now().Sub(r.begunAt) >= minSurvival
 	complete := r.err == nil && (r.outcome == dispatch.Served || r.outcome == dispatch.Broken)
 	leftRunning := r.outcome == dispatch.Cancelled || r.outcome == dispatch.Moved
+	whole := parts[len(parts)-1]
 	if complete && r.status >= http.StatusMultipleChoices {
-		parts = parts[len(parts)-1:] // the whole request
+		parts = []dispatch.PromptPart{whole}
 	}
 	switch {
 	case complete && !r.endedWithConn, survived && (complete || leftRunning):
 		c.cfg.Scheduler.RecordSound(parts)
-	case !survived && (complete || r.outcome == dispatch.Broken):
+	case survived || !complete && r.outcome != dispatch.Broken:
+	case complete && len(parts) == 1 && !c.cfg.Scheduler.IsSuspect(whole):
+		// A check of the server for each such response would cost many connections.
+	default:
 		c.checkEnd(server, parts, complete)
 	}
 }
