Try: a stream moves only to a server whose weights last until its deadline

What callers saw (TestStopSoak): streams that ran were broken off, with and without a stop. Cause: a stream at a server that loads weights is moved to another server's queue. If the weights there become outdated before it begins, it is recalled; then no server is left to try, as maxAttempts is 2 (544 'weights became outdated before the server began the request'). Change: the search for the new slot asks for weights that are not outdated at the request's deadline (Request.WeightsUntil). Without such a server the stream stays where it runs. Not measured: how much longer servers wait for their last streams before they load.

--- a/request/dispatch/move.go
+++ b/request/dispatch/move.go
@@ -43,6 +43,8 @@
 	moveReq := *req
 	moveReq.Priority, moveReq.TriedServers = movePriority, maps.Clone(req.TriedServers)
 	moveReq.TriedServers[from.Server.ID] = true
+	// The stream would be broken off if it were recalled from the queue of the new server.
+	moveReq.WeightsUntil = req.Deadline
 	w := newWaiter(&moveReq)
 	s.enqueue(w)
 	s.assignWaiting()
--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -22,6 +22,9 @@
 	// account allow. A server may run the request if both lists allow the region of
 	// the server; an empty list allows all regions.
 	RouteRegions, AccountRegions []string
+	// WeightsUntil is the time until which the server's weights must not be outdated; the
+	// present time if it is zero.
+	WeightsUntil time.Time
 	// PromptParts are the parts of the prompt that other requests may have as well.
 	PromptParts []PromptPart
 	// Work is the estimated cost of the request for a server, in prompt tokens;
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -446,6 +446,9 @@
 	if version == 0 || req.Version != 0 && req.Version != version {
 		return 0, false
 	}
+	if req.WeightsUntil.After(now) {
+		now = req.WeightsUntil
+	}
 	return version, version >= snapshot.Weights[req.Model].MinVersion(now, s.cfg.WeightsDueAfter)
 }
 
