LOST: a running stream moves only where it can begin, and not during a stop

What callers saw (TestStopSoak): streams that ran were broken off, with and without a stop, after they had been moved away from a server that loads weights. Cause: in the queue of the new server the stream was recalled when the weights there became outdated, and with maxAttempts 2 no server was left to try (event 544: weights became outdated before the server began the request; then no server left to try). In a stop, the new server reads the prompt again, for which the time left was not asked. Change: a stream moves only to weights that last for 2 s more (the try asked for the whole deadline, which keeps loading servers waiting), asked again when the slot is taken; in a stop it stays where it runs.

--- a/request/dispatch/move.go
+++ b/request/dispatch/move.go
@@ -17,6 +17,11 @@
 // that slot is loading weights.
 const movePriority = -1
 
+// moveBeginTime is the time that a stream has to begin at its new server: the weights there
+// must not become outdated before. A stream that is recalled from the queue of the new server
+// may have no other way on.
+const moveBeginTime = 2 * time.Second
+
 // MoveSearch is the search for a slot at another server for a running stream.
 // Meanwhile, the stream continues at its present server. A server that loads new
 // weights serves no other requests until its longest stream has ended. Under full
@@ -43,8 +48,7 @@
 	moveReq := *req
 	moveReq.Priority, moveReq.TriedServers = movePriority, maps.Clone(req.TriedServers)
 	moveReq.TriedServers[from.Server.ID] = true
-	// The stream would be broken off if it were recalled from the queue of the new server.
-	moveReq.WeightsUntil = req.Deadline
+	moveReq.WeightsUntil = now.Add(moveBeginTime)
 	w := newWaiter(&moveReq)
 	s.enqueue(w)
 	s.assignWaiting()
@@ -61,6 +65,7 @@
 	defer s.mu.Unlock()
 	select {
 	case slot := <-m.waiter.slot:
+		m.waiter.request.WeightsUntil = s.clock.Now().Add(moveBeginTime)
 		if s.stillUsable(slot, m.waiter.request) {
 			return slot, true
 		}
--- a/request/forward/move.go
+++ b/request/forward/move.go
@@ -22,6 +22,10 @@
 // slot if none is in progress and a move is allowed, and returns false.
 func (m *streamMover) tryMove(ctx context.Context) bool {
 	c := m.call
+	if c.stop.Load() != nil {
+		// The new server would read the prompt again, which may take longer than is left.
+		return false
+	}
 	if c.checkRetry(ctx, &attemptResult{mayHaveArrived: true, mayHaveRun: true, retryCounted: true}) != nil {
 		return false
 	}
