A stop keeps connections for a moment that have been opened but not used yet

With a grace below 3.3 s the requests in progress were answered before the listener was closed. Change: unused connections are kept for 1 s after the listener has closed; the time of accepting is at most half of the grace. Evidence: TestWhatAStopWaitsFor.

--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -281,9 +281,9 @@
 	e.stopping.Store(true)
 	stop := clientStop{
 		clock: e.clock, handler: e.handler, listener: e.clientListener, server: e.clientServer,
-		activeConns: func() int {
-			_, active, _ := e.clientConns.counts()
-			return active
+		countConns: func() (int, int) {
+			unused, active, _ := e.clientConns.counts()
+			return unused, active
 		},
 	}
 	if err := stop.run(stopGrace(&e.settings)); err != nil {
--- a/daemon/hosted/stop.go
+++ b/daemon/hosted/stop.go
@@ -16,6 +16,9 @@
 	// are closed.
 	answerTime = 300 * time.Millisecond
 	closeTime  = 100 * time.Millisecond
+	// unusedConnTime is the time after the listener was closed for which connections without
+	// any request are kept open.
+	unusedConnTime = time.Second
 	// stopPollInterval is the time between two checks whether requests are in progress.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -41,8 +44,16 @@
 	handler  drainer
 	listener io.Closer
 	server   shutdowner
-	// activeConns returns the number of connections with a request in progress.
-	activeConns func() int
+	// countConns returns the number of connections without a complete head of a request, and
+	// of those with a request in progress.
+	countConns func() (unused, active int)
+}
+
+// isBusy reports whether requests are in progress, or may be about to arrive on connections
+// that were opened just before the listener was closed, sinceClose ago.
+func (s *clientStop) isBusy(sinceClose time.Duration) bool {
+	unused, active := s.countConns()
+	return active > 0 || unused > 0 && sinceClose < unusedConnTime
 }
 
 // run stops the server within grace. New connections are accepted until the load balancer
@@ -53,12 +64,13 @@
 func (s *clientStop) run(grace time.Duration) error {
 	begunAt := s.clock.Now()
 	endAt := begunAt.Add(grace)
+	acceptPeriod := min(acceptPeriodAfterSignal, grace/2)
 	s.handler.BeginStop(forward.Stop{
-		BegunAt: begunAt, AcceptUntil: begunAt.Add(acceptPeriodAfterSignal), AnswerAt: endAt.Add(-answerTime),
+		BegunAt: begunAt, AcceptUntil: begunAt.Add(acceptPeriod), AnswerAt: endAt.Add(-answerTime),
 	})
-	s.clock.Sleep(acceptPeriodAfterSignal)
+	s.clock.Sleep(acceptPeriod)
 	closeErr := s.listener.Close()
-	for s.activeConns() > 0 && s.clock.Now().Before(endAt.Add(-closeTime)) {
+	for s.isBusy(s.clock.Now().Sub(begunAt.Add(acceptPeriod))) && s.clock.Now().Before(endAt.Add(-closeTime)) {
 		s.clock.Sleep(stopPollInterval)
 	}
 	// The server may close a connection whose request has just been read.
--- a/daemon/hosted/stop_test.go
+++ b/daemon/hosted/stop_test.go
@@ -22,6 +22,8 @@
 	clock clockwork.Clock
 	// activeUntil is the time until which requests are in progress.
 	activeUntil time.Time
+	// unused is the number of connections without any request.
+	unused int
 
 	mu               sync.Mutex
 	stop             forward.Stop
@@ -57,11 +59,11 @@
 	return nil
 }
 
-func (s *busyServer) activeConns() int {
+func (s *busyServer) countConns() (unused, active int) {
 	if s.clock.Now().Before(s.activeUntil) {
-		return 1
+		return s.unused, 1
 	}
-	return 0
+	return s.unused, 0
 }
 
 func TestStopWhileClientsKeepComing(t *testing.T) {
@@ -70,7 +72,7 @@
 			clock := clockwork.NewFakeClock()
 			start := clock.Now()
 			server := &busyServer{clock: clock, activeUntil: start.Add(active)}
-			stop := clientStop{clock: clock, handler: server, listener: server, server: server, activeConns: server.activeConns}
+			stop := clientStop{clock: clock, handler: server, listener: server, server: server, countConns: server.countConns}
 			stopped := make(chan error, 1)
 			go func() { stopped <- stop.run(7500 * time.Millisecond) }()
 			var err error
@@ -106,6 +108,35 @@
 	}
 }
 
+func TestWhatAStopWaitsFor(t *testing.T) {
+	Convey("A stop waits for requests in progress, and for unused connections a short time", t, func() {
+		for _, c := range []struct {
+			unused, active int
+			sinceClose     time.Duration
+			want           bool
+		}{
+			{0, 1, time.Minute, true},
+			{1, 0, unusedConnTime - time.Millisecond, true},
+			{1, 0, unusedConnTime, false},
+			{0, 0, 0, false},
+		} {
+			stop := clientStop{countConns: func() (int, int) { return c.unused, c.active }}
+			So(stop.isBusy(c.sinceClose), ShouldEqual, c.want)
+		}
+	})
+	Convey("A short grace leaves time for the answers after the listener is closed", t, func() {
+		clock := clockwork.NewFakeClock()
+		server := &busyServer{clock: clock}
+		stop := clientStop{clock: clock, handler: server, listener: server, server: server, countConns: server.countConns}
+		stopped := make(chan error, 1)
+		go func() { stopped <- stop.run(time.Second) }()
+		So(clock.BlockUntilContext(t.Context(), 1), ShouldBeNil)
+		clock.Advance(time.Second / 2)
+		So(<-stopped, ShouldBeNil)
+		So(server.stop.AcceptUntil, ShouldHappenBefore, server.stop.AnswerAt)
+	})
+}
+
 // stopHandler responds to each request, to those on /slow only after a time.
 type stopHandler struct{ slow time.Duration }
 
@@ -159,9 +190,9 @@
 
 		stop := clientStop{
 			clock: clockwork.NewRealClock(), handler: handler, listener: listener, server: server,
-			activeConns: func() int {
-				_, active, _ := conns.counts()
-				return active
+			countConns: func() (int, int) {
+				unused, active, _ := conns.counts()
+				return unused, active
 			},
 		}
 		stopped := make(chan error, 1)
