Refusals in a stop name their own cause; three smaller findings of a reviewer

What callers could see: in a stop, a request that was refused because it is quarantined or every server is paused got the Retry-After of the stop. Streams that their client had resumed, which are shorter, lowered the usual duration of their route. A 5xx response cleared a request as one that runs well, though a server may answer so and end. Change: the refusal of a stop only if the stop is the cause; only whole first attempts count for the usual duration; what is no success of the attempt clears nothing. One limit a kind in makeRoom (no change of behaviour). Evidence: by reading; go test ./request/forward ./request/dispatch -run 'Stop|Complete|Ends|Quarantine|BodyThat|Risk' passes. (A non-repeatable route's 500, which is forwarded, still clears: TestCompleteResponsesClearRequests.)

--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -412,7 +412,10 @@
 // of the whole requests if there are maxSuspectRequests. Quarantined ones are removed only
 // if there are no others.
 func (q *PartQuarantine) makeRoom(wholeRequests bool) {
-	count, oldest := 0, ""
+	limit, count, oldest := maxSuspectParts, 0, ""
+	if wholeRequests {
+		limit = maxSuspectRequests
+	}
 	for id, p := range q.parts {
 		if (p.position == WholeRequest) != wholeRequests {
 			continue
@@ -423,7 +426,7 @@
 			oldest = id
 		}
 	}
-	if !wholeRequests && count >= maxSuspectParts || count >= maxSuspectRequests {
+	if count >= limit {
 		delete(q.parts, oldest)
 	}
 }
--- a/request/forward/endcheck.go
+++ b/request/forward/endcheck.go
@@ -121,7 +121,7 @@
 func (c *call) recordEffect(server *catalog.Server, r *attemptResult) {
 	parts := c.dispatchReq.PromptParts
 	survived := !r.begunAt.IsZero() && c.cfg.Clock.Now().Sub(r.begunAt) >= minSurvival
-	complete := r.err == nil && (r.outcome == dispatch.Served || r.outcome == dispatch.Broken)
+	complete := r.err == nil && r.outcome == dispatch.Served
 	leftRunning := r.outcome == dispatch.Cancelled || r.outcome == dispatch.Moved
 	whole := parts[len(parts)-1]
 	if complete && r.status >= http.StatusMultipleChoices {
@@ -130,7 +130,7 @@
 	switch {
 	case complete && !r.endedWithConn, survived && (complete || leftRunning):
 		c.cfg.Scheduler.RecordSound(parts)
-	case survived || !complete && r.outcome != dispatch.Broken:
+	case survived || !complete && (r.outcome != dispatch.Broken || r.err == nil):
 	case complete && len(parts) == 1 && !c.cfg.Scheduler.IsSuspect(whole):
 		// A check of the server for each such response would cost many connections.
 	default:
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -68,7 +68,8 @@
 func (c *call) recordAnswered(slot dispatch.Slot, r *attemptResult) {
 	now := c.cfg.Clock.Now()
 	c.stats.answered.Inc(1)
-	if c.attemptCount == 1 && r.status < http.StatusMultipleChoices {
+	wasWhole := c.attemptCount == 1 && c.httpReq.Header.Get(c.cfg.Headers.LastEventID) == ""
+	if wasWhole && r.status < http.StatusMultipleChoices {
 		c.durations.record(c.route.Name, now.Sub(r.sentAt))
 	}
 	c.stats.lastByte.Update(now.Sub(c.dispatchReq.ArrivedAt))
@@ -159,7 +160,7 @@
 	}
 	late := ctx.Err() != nil || errors.Is(cause, errNoTime)
 	switch {
-	case len(c.mayHaveRunAt) == 0 && (c.ended() || !c.mayBegin()):
+	case len(c.mayHaveRunAt) == 0 && (c.ended() || errors.Is(cause, errStopping)):
 		c.refuse(c.refusalOfStop())
 	case c.ended():
 		c.fail(http.StatusGatewayTimeout, "no answer before the instance stops")
