forward: the stall watch has a file of its own

send.go sends a request and checks its response; the watch over a server that sends nothing moves to stallwatch.go. No change of behaviour.

--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/rattanway/rattanway/connection/backend"
 	"github.com/rattanway/rattanway/request/dispatch"
-	"github.com/rattanway/rattanway/version/catalog"
 )
 
 // attemptResult is the result of one attempt at a server.
@@ -322,117 +318,3 @@
 	}
 	return false
 }
-
-// stallWatch closes the connection to a server that sends nothing for too long,
-// if another server can run the request, and to one that has not begun the request when
-// its weights become outdated.
-type stallWatch struct {
-	call *call
-	// retryReq describes the request for the search for another server: the present
-	// server counts as tried.
-	retryReq dispatch.Request
-	ctx      context.Context
-	conn     *backend.Conn
-	mu       sync.Mutex // protects timer
-	// timer is nil if the connection is not watched.
-	timer *time.Timer
-	// stalled is true once the watch has closed the connection because of a stall.
-	stalled atomic.Bool
-	// pending is the request until it begins; nil before awaitBegin.
-	pending *dispatch.PendingBegin
-}
-
-// newStallWatch returns a watch that waits for the first byte of a response. If
-// the request must not be sent to another server, the watch does nothing.
-func (c *call) newStallWatch(ctx context.Context, conn *backend.Conn, slot dispatch.Slot) *stallWatch {
-	w := &stallWatch{call: c, ctx: ctx, conn: conn, retryReq: c.dispatchReq}
-	w.retryReq.TriedServers = maps.Clone(c.dispatchReq.TriedServers)
-	w.retryReq.TriedServers[slot.Server.ID] = true
-	if !c.route.Repeatable() || len(c.mayHaveRunAt)+1 >= c.route.MaxServers {
-		return w
-	}
-	timeout := firstEventTimeout
-	if c.route.Kind != catalog.KindStream {
-		timeout = responseTimeoutFactor * c.route.FirstByteObjective
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(timeout, w.onTimeout)
-	return w
-}
-
-// onTimeout closes the connection if another server has a free slot and the retry
-// budget allows a retry. Otherwise the connection stays open, because the server
-// may still respond. Without a free slot, onTimeout is called again after
-// stallRecheckInterval. If the retry budget does not allow a retry, it is called
-// again only after the server has sent an event.
-func (w *stallWatch) onTimeout() {
-	scheduler := w.call.cfg.Scheduler
-	switch {
-	case w.ctx.Err() != nil:
-		return
-	case !scheduler.HasFreeSlot(&w.retryReq):
-		w.resetTimer(stallRecheckInterval)
-		return
-	case !scheduler.TakeRetry(w.retryReq.Service):
-		return
-	}
-	w.stalled.Store(true)
-	w.conn.Abort()
-}
-
-// awaitBegin begins to wait for the begin of the request at the server of slot. It
-// returns false if the request must not be sent, because the weights there are too old.
-func (w *stallWatch) awaitBegin(slot dispatch.Slot) bool {
-	var ok bool
-	w.pending, ok = w.call.cfg.Scheduler.AwaitBegin(slot, w.call.dispatchReq.Model, w.conn.Abort)
-	return ok
-}
-
-// recordActivity restarts the timeout, because the server has sent an event. It
-// does nothing once the watch has closed the connection.
-func (w *stallWatch) recordActivity() {
-	w.pending.End()
-	if !w.stalled.Load() {
-		w.resetTimer(eventTimeout)
-	}
-}
-
-// resetTimer makes the next call of onTimeout happen after d. It does nothing if
-// the connection is not watched.
-func (w *stallWatch) resetTimer(d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.timer != nil {
-		w.timer.Reset(d)
-	}
-}
-
-// stop ends the watch. It does not close the connection.
-func (w *stallWatch) stop() {
-	if w.pending != nil {
-		w.pending.End()
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.timer != nil {
-		w.timer.Stop()
-		w.timer = nil
-	}
-}
-
-// closedConn reports whether the watch has closed the connection, or is about to.
-func (w *stallWatch) closedConn() bool { return w.pending.Recalled() || w.stalled.Load() }
-
-// markClosed returns r. If the watch has closed the connection, it first sets
-// the outcome to [dispatch.Outdated] or [dispatch.Stalled].
-func (w *stallWatch) markClosed(r attemptResult) attemptResult {
-	if w.pending.Recalled() {
-		r.outcome, r.err = dispatch.Outdated, errOutdated
-		return r
-	}
-	if w.stalled.Load() {
-		r.outcome, r.err, r.retryCounted = dispatch.Stalled, errStalled, true
-	}
-	return r
-}
