GONE: requests of a silent server move before those that wait

Requests at a model server whose machine stood still stayed there until their clients left, and the server ran them when it went on. Cause: after 1.2 s without an event the entry instance looks for a free slot elsewhere every 0.2 s. At full load there is none at these moments, because requests that wait take each slot that becomes free. Ruled out: the try as it was. It asked the retry budget after it had got a slot and kept the slot unused if there was no retry left; it overwrote, and so lost, the slot of a stream that had just found one because of new weights; it held a slot unused for up to 40 ms as it polled; and it put responses that are no streams first as well, where silence is no sign of a fault. Change: a stream whose server has sent nothing at all to this entry instance for 0.9 s waits for a slot in front of the queue, and moves as soon as it gets one and the budget allows a retry. The wait ends, and a slot found meanwhile is given back, when an event comes, the client leaves, the attempt ends or under 40 ms are left. Requests that may not be repeated, or not at another server, stay as before. In a planned stop a request that may have run goes on as before.

--- /dev/null
+++ b/request/dispatch/silent_test.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/rattanway/rattanway/test/wait"
+)
+
+// fillServers acquires every slot, and returns the slots in the order in which they were
+// acquired.
+func (f *schedulerFixture) fillServers() []Slot {
+	var slots []Slot
+	for range 2 * (2 + maxServerQueueLength) {
+		slot, err := f.scheduler.Acquire(context.Background(), f.request())
+		So(err, ShouldBeNil)
+		slots = append(slots, slot)
+	}
+	return slots
+}
+
+// slotAt returns the first of the slots that is at the server with the given ID.
+func slotAt(slots []Slot, id string) Slot {
+	for _, slot := range slots {
+		if slot.Server.ID == id {
+			return slot
+		}
+	}
+	return Slot{}
+}
+
+func TestUntilSilent(t *testing.T) {
+	Convey("A server is silent once it has sent nothing for silentPeriod to any request of this entry instance", t, func() {
+		f := newSchedulerFixture()
+		slots := f.fillServers()
+		first := slotAt(slots, "a")
+		So(f.scheduler.UntilSilent(first), ShouldEqual, silentPeriod)
+		f.clock.Advance(silentPeriod - time.Millisecond)
+		So(f.scheduler.UntilSilent(first), ShouldEqual, time.Millisecond)
+		f.clock.Advance(time.Millisecond)
+		So(f.scheduler.UntilSilent(first), ShouldEqual, 0)
+
+		// What other servers send does not count.
+		f.scheduler.RecordActivity(slotAt(slots, "b"))
+		So(f.scheduler.UntilSilent(first), ShouldEqual, 0)
+		f.scheduler.RecordActivity(slotAt(slots, "a"))
+		So(f.scheduler.UntilSilent(first), ShouldEqual, silentPeriod)
+	})
+
+	Convey("The silence of a server without requests does not count", t, func() {
+		f := newSchedulerFixture()
+		f.clock.Advance(time.Hour)
+		slot, err := f.scheduler.Acquire(context.Background(), f.request())
+		So(err, ShouldBeNil)
+		So(f.scheduler.UntilSilent(slot), ShouldEqual, silentPeriod)
+	})
+}
+
+func TestAcquireBeforeWaiting(t *testing.T) {
+	type result struct {
+		slot Slot
+		err  error
+	}
+	// moving starts AcquireBeforeWaiting for a request that server "a" has got, and
+	// returns once it waits.
+	moving := func(ctx context.Context, f *schedulerFixture, change func(*Request)) <-chan result {
+		req := f.request()
+		req.TriedServers["a"] = true
+		if change != nil {
+			change(req)
+		}
+		results := make(chan result, 1)
+		waitingCount := f.scheduler.waitingCount()
+		go func() {
+			slot, err := f.scheduler.AcquireBeforeWaiting(ctx, req)
+			results <- result{slot, err}
+		}()
+		So(wait.Until(func() bool { return f.scheduler.waitingCount() > waitingCount || len(results) > 0 }), ShouldBeTrue)
+		return results
+	}
+	// waiting starts Acquire for an urgent request, and returns once it waits.
+	waiting := func(f *schedulerFixture) <-chan result {
+		req := f.request()
+		req.FirstByteObjective = 5 * time.Second // so that the request may wait
+		results := make(chan result, 1)
+		waitingCount := f.scheduler.waitingCount()
+		go func() {
+			slot, err := f.scheduler.Acquire(context.Background(), req)
+			results <- result{slot, err}
+		}()
+		So(wait.Until(func() bool { return f.scheduler.waitingCount() > waitingCount }), ShouldBeTrue)
+		return results
+	}
+
+	Convey("A free slot is assigned at once", t, func() {
+		f := newSchedulerFixture()
+		r := <-moving(t.Context(), f, nil)
+		So(r.err, ShouldBeNil)
+		So(r.slot.Server.ID, ShouldEqual, "b")
+		So(f.scheduler.RunningByServer(), ShouldResemble, map[string]int{"b": 1})
+	})
+
+	Convey("Under full load the request gets the next slot at another server, and those that waited before it the ones after that", t, func() {
+		f := newSchedulerFixture()
+		slots := f.fillServers()
+		others := []<-chan result{waiting(f), waiting(f)}
+		moved := moving(t.Context(), f, nil)
+		// A slot at the server that the request must leave goes to one that waits.
+		f.scheduler.Release(slotAt(slots, "a"), Served)
+		So((<-others[0]).slot.Server.ID, ShouldEqual, "a")
+		So(moved, ShouldBeEmpty)
+		So(others[1], ShouldBeEmpty)
+		f.scheduler.Release(slotAt(slots, "b"), Served)
+		So((<-moved).slot.Server.ID, ShouldEqual, "b")
+		So(others[1], ShouldBeEmpty)
+		f.scheduler.Release(slotAt(slots, "b"), Served)
+		So((<-others[1]).slot.Server.ID, ShouldEqual, "b")
+		So(f.scheduler.waitingCount(), ShouldEqual, 0)
+	})
+
+	Convey("A request for which no server is left holds up no other", t, func() {
+		f := newSchedulerFixture()
+		slots := f.fillServers()
+		ctx, cancel := context.WithCancel(t.Context())
+		moved := moving(ctx, f, func(req *Request) { req.TriedServers["b"] = true })
+		other := waiting(f)
+		f.scheduler.Release(slots[0], Served)
+		So((<-other).err, ShouldBeNil)
+		cancel()
+		So((<-moved).err, ShouldEqual, context.Canceled)
+		So(f.scheduler.waitingCount(), ShouldEqual, 0)
+	})
+
+	Convey("A request whose client leaves keeps no slot and no place in the queue", t, func() {
+		f := newSchedulerFixture()
+		slots := f.fillServers()
+		ctx, cancel := context.WithCancel(t.Context())
+		moved := moving(ctx, f, nil)
+		cancel()
+		So((<-moved).err, ShouldEqual, context.Canceled)
+		So(f.scheduler.waitingCount(), ShouldEqual, 0)
+		for _, slot := range slots {
+			f.scheduler.Release(slot, Served)
+		}
+		So(f.scheduler.RunningByServer(), ShouldBeEmpty)
+	})
+
+	Convey("A slot that is assigned while the client leaves is used or given back", t, func() {
+		for range 50 {
+			f := newSchedulerFixture()
+			slots := f.fillServers()
+			ctx, cancel := context.WithCancel(t.Context())
+			moved := moving(ctx, f, nil)
+			go cancel()
+			f.scheduler.Release(slotAt(slots, "b"), Served)
+			want := map[string]int{"a": 3, "b": 2}
+			if r := <-moved; r.err == nil {
+				want["b"]++
+			}
+			So(f.scheduler.RunningByServer(), ShouldResemble, want)
+			So(f.scheduler.waitingCount(), ShouldEqual, 0)
+		}
+	})
+
+	Convey("A request whose prompt part is quarantined meanwhile is not moved", t, func() {
+		f := newSchedulerFixture()
+		f.fillServers()
+		parts := []PromptPart{{ID: "part"}}
+		moved := moving(t.Context(), f, func(req *Request) { req.PromptParts = parts })
+		for _, boot := range []string{"x", "y", "z"} {
+			f.clock.Advance(minEndSpacing)
+			f.scheduler.RecordServerEnd(boot, parts, f.clock.Now())
+		}
+		So((<-moved).err, ShouldEqual, ErrQuarantined)
+		So(f.scheduler.waitingCount(), ShouldEqual, 0)
+	})
+}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -119,7 +119,7 @@
 	attemptCount int
 	// mayHaveRunAt holds the IDs of the servers that may have run the request.
 	mayHaveRunAt map[string]bool
-	// moveTarget is the slot to which the stream is to be moved. It is nil if there is
+	// moveTarget is the slot to which the request is to be moved. It is nil if there is
 	// no such slot or the move has begun.
 	moveTarget *dispatch.Slot
 	// headerSent is true once the response header has been written to the client.
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// acquireSlot returns the slot c.moveTarget if a stream is to be moved, and
+// acquireSlot returns the slot c.moveTarget if the request is to be moved, and
 // otherwise acquires one.
 func (c *call) acquireSlot(ctx context.Context) (dispatch.Slot, error) {
 	if c.moveTarget != nil {
@@ -56,7 +56,7 @@
 	return c.cfg.Scheduler.Acquire(ctx, &c.dispatchReq)
 }
 
-// releaseUnusedSlot releases the slot to which the stream was to be moved, if the
+// releaseUnusedSlot releases the slot to which the request was to be moved, if the
 // request ended before the move, for example because the client left.
 func (c *call) releaseUnusedSlot() {
 	if c.moveTarget != nil {
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -91,7 +91,7 @@
 func (c *call) exchange(ctx context.Context, conn *backend.Conn, slot dispatch.Slot) attemptResult {
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
-	watch := c.newStallWatch(ctx, conn, slot)
+	watch := c.newStallWatch(ctx, conn.Abort, slot)
 	defer watch.stop()
 	if !watch.awaitBegin(slot) {
 		conn.Close()
