--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -111,7 +111,10 @@
 	seenWeights map[string]seenWeights
 	// lastResponseAt is when the server last sent something; zero if it has not.
 	lastResponseAt time.Time
-	requestLimit   requestLimit
+	// stalledAt is when the last attempt ended that stalled; zero if the server has sent
+	// something since.
+	stalledAt    time.Time
+	requestLimit requestLimit
 	// limitRateLimiter counts the requests since the server has named a limit.
 	limitRateLimiter SharedRateLimiter
 }
@@ -301,6 +304,9 @@
 	st := s.stateOf(slot.Server.ID)
 	st.runningCount--
 	st.health.Record(o, s.clock.Now())
+	if o == Stalled {
+		st.stalledAt = s.clock.Now()
+	}
 	s.assignWaiting()
 }
 
@@ -310,7 +316,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stateOf(slot.Server.ID)
-	st.lastResponseAt = s.clock.Now()
+	st.lastResponseAt, st.stalledAt = s.clock.Now(), time.Time{}
 	st.stallDetector.RecordActivity(st.lastResponseAt)
 }
 
@@ -407,7 +413,7 @@
 			Penalty:     st.health.Penalty(),
 		}
 		blocked := st.health.InBackoff(now) || st.stallDetector.Stalled(now, st.runningCount, req.FirstByteObjective) ||
-			!s.limitAllows(st, server, now) || !c.PausedUntil.IsZero()
+			!st.allowsUnheard(req, now) || !s.limitAllows(st, server, now) || !c.PausedUntil.IsZero()
 		c.Deferred = !s.burstAllows(st, server, req, version, limit-c.Slot.RunningCount, now)
 		if service != nil && service.ColdRequestsPerSecond > 0 && server.Cold(now) {
 			blocked = blocked || !st.coldRateLimiter.Allows(now, coldWindow, service.ColdRequestsPerSecond, s.knownEntryInstanceCount(), s.shareRankAt(server))
--- a/request/dispatch/silent.go
+++ b/request/dispatch/silent.go
@@ -43,3 +43,17 @@
 	s.cancelWait(w)
 	return Slot{}, ctx.Err()
 }
+
+// unheardPeriod limits how long a server that does not get any request to respond to is
+// treated as one that may still be silent.
+const unheardPeriod = 5 * time.Second
+
+// allowsUnheard reports whether a server may get a request. One that has sent nothing
+// since an attempt there stalled gets one at a time, to find out whether it goes on, and
+// none that has been sent before and has no time to lose. Other servers may get any.
+func (st *serverState) allowsUnheard(req *Request, now time.Time) bool {
+	if st.stalledAt.IsZero() || now.Sub(st.stalledAt) >= unheardPeriod {
+		return true
+	}
+	return st.runningCount == 0 && len(req.TriedServers) == 0
+}
--- a/request/dispatch/silent_test.go
+++ b/request/dispatch/silent_test.go
@@ -178,3 +178,70 @@
 		So(f.scheduler.waitingCount(), ShouldEqual, 0)
 	})
 }
+
+// Guards against requests that are sent to a silent server one after the other, because
+// it has none in progress once those that it had have moved.
+func TestServerThatWasSilent(t *testing.T) {
+	// newStalled returns a fixture whose server "a" has sent nothing to requests that have
+	// moved, and whose backoff is over. Server "b" is gone.
+	newStalled := func() (*schedulerFixture, Slot) {
+		f := newSchedulerFixture()
+		a := f.server("a", "palermo")
+		a.Slots = 10
+		f.setServers(a)
+		var slots []Slot
+		for range 3 {
+			slot, err := f.scheduler.Acquire(t.Context(), f.request())
+			So(err, ShouldBeNil)
+			slots = append(slots, slot)
+		}
+		for _, slot := range slots {
+			f.scheduler.Release(slot, Stalled)
+		}
+		f.clock.Advance(maxBackoff)
+		return f, slots[0]
+	}
+
+	Convey("It gets one request at a time until it sends something", t, func() {
+		f, _ := newStalled()
+		probe, err := f.scheduler.Acquire(t.Context(), f.request())
+		So(err, ShouldBeNil)
+		_, err = f.acquire(f.request())
+		So(err, ShouldEqual, ErrFull)
+		f.scheduler.Release(probe, Stalled)
+		f.clock.Advance(maxBackoff)
+		probe, err = f.scheduler.Acquire(t.Context(), f.request())
+		So(err, ShouldBeNil)
+		f.scheduler.RecordActivity(probe)
+		for range 10 {
+			_, err = f.acquire(f.request())
+			So(err, ShouldBeNil)
+		}
+	})
+
+	Convey("It gets none that has been sent before", t, func() {
+		f, slot := newStalled()
+		req := f.request()
+		req.TriedServers["other"] = true
+		_, err := f.acquire(req)
+		So(err, ShouldEqual, ErrFull)
+		So(f.scheduler.HasFreeSlot(req), ShouldBeFalse)
+		f.scheduler.RecordActivity(slot)
+		_, err = f.acquire(req)
+		So(err, ShouldBeNil)
+	})
+	Convey("After unheardPeriod it may get any request", t, func() {
+		f, _ := newStalled()
+		req := f.request()
+		req.TriedServers["other"] = true
+		f.clock.Advance(unheardPeriod - maxBackoff - time.Millisecond)
+		req.Deadline = f.clock.Now().Add(time.Second)
+		_, err := f.acquire(req)
+		So(err, ShouldEqual, ErrFull)
+		f.clock.Advance(time.Millisecond)
+		for range 5 {
+			_, err = f.acquire(req)
+			So(err, ShouldBeNil)
+		}
+	})
+}
