Test: a request leaves a silent server during a planned stop

A request that a server may have run goes on in a planned stop, also when its server falls silent: it moves, while new requests are refused.

--- a/request/forward/stop_test.go
+++ b/request/forward/stop_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/rattanway/rattanway/test/wait"
+	"github.com/rattanway/rattanway/version/catalog"
 )
 
 // newSilentServer starts a server that responds to nothing until the test ends.
@@ -134,3 +135,28 @@
 		So(u.usual("/stream/"), ShouldBeGreaterThan, 4*time.Second)
 	})
 }
+
+// Guards against a request that is refused, or that stays at a silent server until the
+// process ends, although a server may have run it and another one can.
+func TestRequestLeavesASilentServerDuringAStop(t *testing.T) {
+	Convey("A request at a server that has gone silent moves during a planned stop, in which no other request begins", t, func() {
+		silent := newSilentServer(t)
+		good := newServer(t, "good", func(r receivedRequest, _ int) string {
+			return streamHeader(r) + chunk(event(1)) + lastChunk
+		})
+		f := newFixture(t, nil, silent)
+		responses := make(chan clientResponse, 1)
+		go func() { responses <- f.send(t, http.MethodPost, "/resumable/", "", "X-Deadline", "5000") }()
+		So(wait.Until(func() bool { return silent.requestCount() == 1 }), ShouldBeTrue)
+		f.holder.Apply([]catalog.Change{{Server: f.holder.Current().Servers["silent"]}, {Server: &catalog.Server{
+			ID: "good", Service: "registry", Addr: good.listener.Addr().String(), DataCentre: "palermo", Slots: 4,
+		}}}, true, true, time.Now())
+		now := time.Now()
+		f.handler.BeginStop(Stop{BegunAt: now, AcceptUntil: now, AnswerAt: now.Add(4 * time.Second)})
+		So(f.send(t, http.MethodPost, "/resumable/", "", "X-Deadline", "5000").status, ShouldEqual, http.StatusServiceUnavailable)
+		r := <-responses
+		So(r.status, ShouldEqual, http.StatusOK)
+		So(r.body, ShouldEqual, event(1))
+		So(good.requestCount(), ShouldEqual, 1)
+	})
+}
