--- a/request/dispatch/retrybudget.go
+++ b/request/dispatch/retrybudget.go
@@ -91,3 +91,29 @@
 	b.retryCounts[i]++
 	return true
 }
+
+// CountRequest counts a request in the retry budget of its service.
+func (s *Scheduler) CountRequest(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudgetOf(service).CountRequest(s.clock.Now())
+}
+
+// TakeRetry reports whether the retry budget of the service allows a retry now,
+// and if so counts the retry.
+func (s *Scheduler) TakeRetry(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryBudgetOf(service).TakeRetry(s.clock.Now(), s.knownEntryInstanceCount())
+}
+
+// retryBudgetOf returns the retry budget of a service, and creates it if there is
+// none. The caller holds s.mu.
+func (s *Scheduler) retryBudgetOf(service string) *RetryBudget {
+	r, ok := s.retryBudgets[service]
+	if !ok {
+		r = NewRetryBudget(s.cfg.RetryLimits)
+		s.retryBudgets[service] = r
+	}
+	return r
+}
