--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -55,9 +55,9 @@
 
 // PartQuarantine finds out which part of their prompts requests have in common that
 // end the servers at which they run, or which single request does, and keeps requests with
-// that part away from the servers. A request may be the cause of a server's end if the server had just begun
-// to respond to it or had not begun. A part is suspect while no request with it has
-// run since. Of several suspect parts the one with the most ends is quarantined, which
+// that part away from the servers. A request may be the cause of a server's end if the
+// server had just begun to respond to it or had not begun. A part is suspect while no
+// request with it has run since. Of several suspect parts the one with the most ends is quarantined, which
 // explains these ends, so that they do not count for the others. This is decided anew
 // with each end: a part is released if another one turns out to explain its ends.
 type PartQuarantine struct {
@@ -176,9 +176,9 @@
 func (q *PartQuarantine) knownSound(part PromptPart) bool { return q.soundSetOf(part).has(part.ID) }
 
 // addEnd adds an end to a part, unless it is known. An end that a quarantined part
-// explains makes no other part of a prompt suspect. An end that is known becomes refuted if the new
-// one is. If a nearer observer reports a known end, that is a change as well, because it
-// decides who passes the end on.
+// explains makes no other part of a prompt suspect. An end that is known becomes refuted
+// if the new one is. If a nearer observer reports a known end, that is a change as well,
+// because it decides who passes the end on.
 func (q *PartQuarantine) addEnd(part PromptPart, end partEnd, knownSound bool, o observer, now time.Time) {
 	p := q.parts[part.ID]
 	if p == nil {
