--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -252,12 +252,14 @@
 	return min(max(objectiveWait, req.MaxRetryWait), req.Deadline.Sub(now))
 }
 
-// HasFreeSlot reports whether a server that can run the request, other than those in
-// req.TriedServers, has a free slot.
-func (s *Scheduler) HasFreeSlot(req *Request) bool {
+// TryAcquire returns a slot for a request, or false if no server that can run it, other than
+// those in req.TriedServers, has a free one now. The caller must give the slot back with
+// Release.
+func (s *Scheduler) TryAcquire(req *Request) (Slot, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ChooseCandidate(s.candidates(req), 0) >= 0
+	slot, err := s.assign(req)
+	return slot, err == nil
 }
 
 // enqueue inserts a request into the queue, after all requests with the same
--- a/request/dispatch/silent_test.go
+++ b/request/dispatch/silent_test.go
@@ -225,7 +225,8 @@
 		req.TriedServers["other"] = true
 		_, err := f.acquire(req)
 		So(err, ShouldEqual, ErrFull)
-		So(f.scheduler.HasFreeSlot(req), ShouldBeFalse)
+		_, found := f.scheduler.TryAcquire(req)
+		So(found, ShouldBeFalse)
 		f.scheduler.RecordActivity(slot)
 		_, err = f.acquire(req)
 		So(err, ShouldBeNil)
--- a/request/forward/body.go
+++ b/request/forward/body.go
@@ -83,15 +83,14 @@
 	return err
 }
 
-// readResponse reads a complete response. The error is errResponseTooLong if the
-// budget does not allow the size of the body. The parts of the body belong to the
-// call until releaseBodies.
-func (c *call) readResponse(resp *http.Response) (*response, error) {
+// read reads a complete response. The error is errResponseTooLong if the budget does not
+// allow the size of the body. The caller gives the parts of the body back.
+func (p *bodyParts) read(resp *http.Response) (*response, error) {
 	var first bytes.Buffer
 	_, err := io.CopyN(&first, resp.Body, firstPartBytes)
 	complete := &response{status: resp.StatusCode, header: resp.Header, first: first.Bytes()}
 	for err == nil {
-		part := c.bodyParts.take()
+		part := p.take()
 		if part == nil {
 			err = errResponseTooLong
 			break
@@ -100,7 +99,17 @@
 		complete.parts = append(complete.parts, part)
 	}
 	if !errors.Is(err, io.EOF) {
-		c.bodyParts.give(complete.parts)
+		p.give(complete.parts)
+		return nil, err
+	}
+	return complete, nil
+}
+
+// readResponse reads a complete response. The parts of the body belong to the call until
+// releaseBodies.
+func (c *call) readResponse(resp *http.Response) (*response, error) {
+	complete, err := c.bodyParts.read(resp)
+	if err != nil {
 		return nil, err
 	}
 	c.heldParts = append(c.heldParts, complete.parts...)
--- a/request/forward/events.go
+++ b/request/forward/events.go
@@ -19,4 +19,6 @@
 		"An attempt to run a request at a server failed, or the stream of the response continues at another server; the fields give the cause and whether the request is sent again, the shared parts of the prompt, and how long before the server had sent its first event (-1: it had sent none).")
 	eventServerEnded = eventlog.Define(545, "server-ended", logrus.WarnLevel,
 		"A server ended while it ran requests: connections to it broke and a new one is refused; the fields give the shared parts of the prompts of the requests that had just begun there or had not begun.")
+	eventHedged = eventlog.Define(556, "request-hedged", logrus.InfoLevel,
+		"A request is sent to a second server while the first one may still respond; the fields give the reason (the first server is silent, or loads new weights), and for how long the first server had sent nothing.")
 )
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -117,9 +117,9 @@
 	attemptCount int
 	// mayHaveRunAt holds the IDs of the servers that may have run the request.
 	mayHaveRunAt map[string]bool
-	// moveTarget is the slot to which the request is to be moved. It is nil if there is
-	// no such slot or the move has begun.
-	moveTarget *dispatch.Slot
+	// nextHedge is the hedge with which the request goes on; nil if there is none, or the
+	// request goes on with it already.
+	nextHedge *hedge
 	// headerSent is true once the response header has been written to the client.
 	headerSent bool
 	// resumed is true while a stream goes on that another attempt has begun.
--- a/request/forward/head_test.go
+++ b/request/forward/head_test.go
@@ -37,7 +37,7 @@
 		c := &call{Handler: &Handler{cfg: Config{Headers: testHeaders, Clock: clock}}, httpReq: req, body: body}
 		c.account = &catalog.Account{Name: "growers"}
 		c.dispatchReq.Deadline = clock.Now().Add(time.Second)
-		head := c.requestHead(dispatch.Slot{Server: &catalog.Server{ID: "s1"}, Version: 2}, time.Second)
+		head := c.requestHead(dispatch.Slot{Server: &catalog.Server{ID: "s1"}, Version: 2}, time.Second, "")
 
 		reader := bufio.NewReader(strings.NewReader(head + string(body)))
 		got, err := http.ReadRequest(reader)
--- /dev/null
+++ b/request/forward/hedge.go
@@ -0,0 +1,243 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rattanway/rattanway/connection/backend"
+	"github.com/rattanway/rattanway/request/dispatch"
+)
+
+// errOvertaken means that the response of a hedge is not needed, because the first server
+// has gone on.
+var errOvertaken = errors.New("the first server has gone on")
+
+// hedge is an attempt at a second server that is made while the first server may still
+// respond. The connection to the first server is closed only when the request has begun at
+// the second one, so that a second server that refuses the request, breaks off or is silent
+// costs nothing but a retry.
+type hedge struct {
+	call *call
+	slot dispatch.Slot
+	// reason is the outcome of the first attempt if the hedge takes over.
+	reason dispatch.Outcome
+	// ctx ends when the request ends, and when the hedge is cancelled. That aborts its
+	// connection.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// lastEventID is the ID of the last event that the client had when the hedge began.
+	lastEventID string
+	// headerSent tells whether the client had the header of a response by then.
+	headerSent bool
+	// useNewConn is true if the server has already got the request.
+	useNewConn bool
+
+	// done is closed when exchange and result are set.
+	done chan struct{}
+	// exchange is the exchange in which the request has begun; nil if the attempt failed
+	// with result.
+	exchange *serverExchange
+	result   attemptResult
+	// body is what the hedge has read of a response that is no stream.
+	body *response
+}
+
+// run makes the attempt. It returns when the request has begun at the server, or when the
+// attempt has failed.
+func (h *hedge) run() {
+	defer close(h.done)
+	h.result = h.call.onConnection(h.ctx, h.slot, h.useNewConn, h.begin)
+}
+
+// begin sends the request on a connection, and reads the response until the request has
+// begun.
+func (h *hedge) begin(conn *backend.Conn) attemptResult {
+	c := h.call
+	x, ok := c.newExchange(h.ctx, conn, h.slot)
+	if !ok {
+		return c.markEnded(h.ctx, attemptResult{outcome: dispatch.Outdated, err: errOutdated})
+	}
+	left := c.timeLeft(c.cfg.Clock.Now())
+	if left < minRetryTime {
+		x.close()
+		return attemptResult{outcome: dispatch.Cancelled, err: errNoTime}
+	}
+	r := c.send(h.ctx, x, c.requestHead(h.slot, left, h.lastEventID))
+	if r.err == nil {
+		r = h.awaitBegin(x)
+	}
+	r.sentAt = x.sentAt
+	switch {
+	case r.err == nil:
+		h.exchange = x
+		return r
+	case errors.Is(r.err, errNotRun) && x.stopAbort():
+		x.pending.End()
+		c.cfg.Pool.Put(conn, x.resp)
+		return r
+	}
+	x.close()
+	switch {
+	case errors.Is(r.err, backend.ErrNotSent):
+		return r
+	case x.pending.Recalled():
+		r.outcome, r.err = dispatch.Outdated, errOutdated
+		return r
+	}
+	return c.markEnded(h.ctx, r)
+}
+
+// errNotRun means that a server has refused the request.
+var errNotRun = errors.New("server refused the request")
+
+// awaitBegin reads the response until it is certain that the request goes on at this
+// server: the first event with data of a stream, and otherwise the complete response. What it
+// has read can be read again from the response. A 5xx response is of no use as long as the
+// first server may give a better one.
+func (h *hedge) awaitBegin(x *serverExchange) attemptResult {
+	c := h.call
+	paused := c.recordNotices(h.slot, x.resp)
+	r := attemptResult{outcome: dispatch.Broken, status: x.resp.StatusCode, mayHaveArrived: true, mayHaveRun: true}
+	switch {
+	case x.reused && c.lacksID(x.resp):
+		r.err = errNoRequestID
+	case c.isNotRun(x.resp):
+		return h.readRefusal(x, paused)
+	case x.resp.StatusCode >= http.StatusInternalServerError:
+		r.err = errors.Errorf("status %d", x.resp.StatusCode)
+	case c.isEventStream(x.resp):
+		if r.err = c.checkHead(x.resp); r.err == nil {
+			r.err = readFirstEvent(x.resp)
+		}
+	case h.headerSent:
+		r.err = errNoStream
+	default:
+		if r.err = c.checkHead(x.resp); r.err == nil {
+			r.err = h.readBody(x)
+		}
+	}
+	if r.err == nil {
+		x.pending.End()
+		r.begunAt = c.cfg.Clock.Now()
+		c.cfg.Scheduler.RecordActivity(h.slot)
+	}
+	return r
+}
+
+// errNoStream means that a stream that has begun cannot go on, because the response of the
+// second server is no stream.
+var errNoStream = errors.New("response is not a stream of events")
+
+// readRefusal reads the response of a server that has not run the request, so that its
+// connection can be used again.
+func (h *hedge) readRefusal(x *serverExchange, paused bool) attemptResult {
+	r := attemptResult{outcome: notRunOutcome(x.resp), status: x.resp.StatusCode, mayHaveArrived: true, err: errNotRun}
+	if paused {
+		r.outcome = dispatch.Paused
+	}
+	body, err := h.call.bodyParts.read(x.resp)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	h.call.bodyParts.give(body.parts)
+	return r
+}
+
+// readBody reads the complete body of a response.
+func (h *hedge) readBody(x *serverExchange) error {
+	body, err := h.call.bodyParts.read(x.resp)
+	if err != nil {
+		return err
+	}
+	h.body = body
+	var again bytes.Buffer
+	if err := body.writeBody(&again); err != nil {
+		return err
+	}
+	x.resp.Body = io.NopCloser(&again)
+	return nil
+}
+
+// readFirstEvent reads a stream up to its first event with data, or to its end.
+func readFirstEvent(resp *http.Response) error {
+	reader := bufio.NewReaderSize(resp.Body, 1<<10)
+	var read bytes.Buffer
+	for {
+		event, err := readEvent(reader)
+		if errors.Is(err, io.EOF) && len(event) == 0 {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if read.Write(event); read.Len() > maxEventBytes {
+			return errNoData
+		}
+		if hasData(event) {
+			break
+		}
+	}
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(&read, reader), resp.Body}
+	return nil
+}
+
+// close closes the connection of a hedge that has ended, and gives the memory of the body
+// back.
+func (h *hedge) close() {
+	h.cancel()
+	if h.exchange != nil {
+		h.exchange.close()
+	}
+	if h.body != nil {
+		h.call.bodyParts.give(h.body.parts)
+	}
+}
+
+// discard ends a hedge that is not needed, and releases its slot.
+func (h *hedge) discard() {
+	h.cancel()
+	go func() {
+		<-h.done
+		h.close()
+		outcome := dispatch.Cancelled
+		if h.exchange == nil {
+			outcome = h.result.outcome
+		}
+		h.call.cfg.Scheduler.Release(h.slot, outcome)
+	}()
+}
+
+// continueHedge continues the request with the attempt of a hedge. It waits until the
+// request has begun there, or the attempt has failed.
+func (c *call) continueHedge(ctx context.Context, h *hedge) attemptResult {
+	watch := c.newStallWatch(ctx, h.cancel, h.slot)
+	defer watch.stop()
+	<-h.done
+	defer h.close()
+	if h.exchange == nil {
+		watch.stop()
+		return c.markEnded(ctx, watch.markClosed(h.result))
+	}
+	watch.pending = h.exchange.pending
+	return c.finish(ctx, h.exchange, watch, c.handleResponse(ctx, h.exchange.resp, h.slot, watch))
+}
+
+// newHedge returns a hedge of the attempt that w watches. The caller holds w.mu.
+func (w *stallWatch) newHedge(slot dispatch.Slot, reason dispatch.Outcome) *hedge {
+	h := &hedge{
+		call: w.call, slot: slot, reason: reason, lastEventID: w.lastEventID, headerSent: w.headerSent,
+		useNewConn: slices.Contains(w.attemptServers, slot.Server.ID), done: make(chan struct{}),
+	}
+	h.ctx, h.cancel = context.WithCancel(w.ctx)
+	return h
+}
--- a/request/forward/identity.go
+++ b/request/forward/identity.go
@@ -33,8 +33,7 @@
 // request ID, on a connection that has carried other requests. A faulty server sends the
 // response to an earlier request once more, so the response does not show whether this
 // request has run.
-func (c *call) handleUnidentified(resp *http.Response, slot dispatch.Slot) attemptResult {
-	c.mayHaveRunAt[slot.Server.ID] = true
+func (c *call) handleUnidentified(resp *http.Response) attemptResult {
 	r := attemptResult{outcome: dispatch.Broken, err: errNoRequestID, mayHaveArrived: true, mayHaveRun: true}
 	if c.isNotRun(resp) {
 		// The server is most likely full, not broken.
--- a/request/forward/move.go
+++ b/request/forward/move.go
@@ -9,39 +9,40 @@
 // streamMover searches for a slot at another server for a stream whose present
 // server loads new weights.
 type streamMover struct {
-	call *call
+	call  *call
+	watch *stallWatch
 	// from is the slot in which the stream runs at present.
 	from dispatch.Slot
 	// search is nil while no search for another slot is in progress.
 	search *dispatch.MoveSearch
 }
 
-// tryMove is called after each event of the stream. If a slot at another server
-// has been assigned to the stream, it sets call.moveTarget to this slot and returns
-// true; the stream must then continue there. Otherwise it starts a search for a
-// slot if none is in progress and a move is allowed, and returns false.
-func (m *streamMover) tryMove(ctx context.Context) bool {
+// tryMove is called after each event of the stream. If a slot at another server has been
+// assigned to the stream, it begins a hedge there. Otherwise it starts a search for a slot if
+// none is in progress and a move is allowed.
+func (m *streamMover) tryMove(ctx context.Context) {
 	c := m.call
 	if c.stop.Load() != nil {
 		// The new server would read the prompt again, which may take longer than is left.
-		return false
+		return
 	}
 	if c.checkRetry(ctx, &attemptResult{mayHaveArrived: true, mayHaveRun: true, retryCounted: true}) != nil {
-		return false
+		return
 	}
 	if m.search == nil {
-		m.search = c.cfg.Scheduler.StartMoveSearch(&c.dispatchReq, m.from)
+		req, ok := m.watch.moveRequest()
+		if !ok {
+			return
+		}
+		m.search = c.cfg.Scheduler.StartMoveSearch(req, m.from)
 	}
 	if m.search == nil {
-		return false
+		return
 	}
-	slot, ok := m.search.Take()
-	if !ok {
-		return false
+	if slot, ok := m.search.Take(); ok {
+		m.search = nil
+		m.watch.beginMove(slot)
 	}
-	m.search = nil
-	c.moveTarget = &slot
-	return true
 }
 
 // cancel ends the search for a slot, if one is in progress.
--- a/request/forward/notices_test.go
+++ b/request/forward/notices_test.go
@@ -71,7 +71,13 @@
 		got := make(chan clientResponse, 1)
 		go func() { got <- f.send(t, http.MethodPost, "/resumable/", "prompt") }()
 		So(wait.Until(func() bool { return a.requestCount() == 1 }), ShouldBeTrue)
-		So(wait.Until(func() bool { return !f.scheduler.HasFreeSlot(&dispatch.Request{Service: "registry"}) }), ShouldBeTrue)
+		So(wait.Until(func() bool {
+			slot, found := f.scheduler.TryAcquire(&dispatch.Request{Service: "registry"})
+			if found {
+				f.scheduler.Release(slot, dispatch.Cancelled)
+			}
+			return !found
+		}), ShouldBeTrue)
 		So(f.send(t, http.MethodGet, "/safe/", "").status, ShouldEqual, http.StatusServiceUnavailable)
 		So(a.requestCount(), ShouldEqual, 1)
 		release()
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -15,14 +15,17 @@
 // no further attempt is allowed.
 func (c *call) run(ctx context.Context) {
 	c.cfg.Scheduler.CountRequest(c.dispatchReq.Service)
-	defer c.releaseUnusedSlot()
+	defer c.discardUnusedHedge()
 	for {
-		slot, err := c.acquireSlot(ctx)
+		slot, hedge, err := c.acquireSlot(ctx)
 		if err != nil {
 			c.giveUp(ctx, err)
 			return
 		}
-		result := c.makeAttempt(ctx, slot)
+		result := c.makeAttempt(ctx, slot, hedge)
+		if result.mayHaveRun {
+			c.mayHaveRunAt[slot.Server.ID] = true
+		}
 		c.cfg.Scheduler.Release(slot, result.outcome)
 		c.recordEffect(slot.Server, &result)
 		if result.outcome == dispatch.Served {
@@ -45,22 +48,22 @@
 	}
 }
 
-// acquireSlot returns the slot c.moveTarget if the request is to be moved, and
-// otherwise acquires one.
-func (c *call) acquireSlot(ctx context.Context) (dispatch.Slot, error) {
-	if c.moveTarget != nil {
-		slot := *c.moveTarget
-		c.moveTarget = nil
-		return slot, nil
-	}
-	return c.cfg.Scheduler.Acquire(ctx, &c.dispatchReq)
+// acquireSlot acquires a slot for the next attempt. If the request goes on with a hedge, it
+// returns this and its slot.
+func (c *call) acquireSlot(ctx context.Context) (dispatch.Slot, *hedge, error) {
+	if h := c.nextHedge; h != nil {
+		c.nextHedge = nil
+		return h.slot, h, nil
+	}
+	slot, err := c.cfg.Scheduler.Acquire(ctx, &c.dispatchReq)
+	return slot, nil, err
 }
 
-// releaseUnusedSlot releases the slot to which the request was to be moved, if the
-// request ended before the move, for example because the client left.
-func (c *call) releaseUnusedSlot() {
-	if c.moveTarget != nil {
-		c.cfg.Scheduler.Release(*c.moveTarget, dispatch.Cancelled)
+// discardUnusedHedge discards the hedge with which the request was to go on, if the request
+// ended before that, for example because the client left.
+func (c *call) discardUnusedHedge() {
+	if c.nextHedge != nil {
+		c.nextHedge.discard()
 	}
 }
 
@@ -90,9 +93,18 @@
 func (c *call) decideRetry(ctx context.Context, slot dispatch.Slot, r *attemptResult) error {
 	err := c.checkRetry(ctx, r)
 	follows := "sent again"
-	if err != nil {
+	switch {
+	case err != nil:
 		follows = err.Error()
+	case c.nextHedge != nil:
+		follows = "goes on with a hedge"
 	}
+	c.logAttempt(slot, r, follows)
+	return err
+}
+
+// logAttempt logs an attempt that has not served the request, and what follows.
+func (c *call) logAttempt(slot dispatch.Slot, r *attemptResult, follows string) {
 	cause := ""
 	if r.err != nil {
 		cause = r.err.Error()
@@ -106,7 +118,6 @@
 		"server": slot.Server.ID, "addr": slot.Server.Addr, "outcome": r.outcome.String(), "mayHaveRun": r.mayHaveRun,
 		"cause": cause, "status": r.status, "follows": follows, "version": slot.Version, "running": slot.RunningCount,
 	})
-	return err
 }
 
 // checkRetry returns nil if the request may be sent again after an attempt with
@@ -121,6 +132,8 @@
 		return r.err
 	case r.outcome == dispatch.Cancelled:
 		return errors.Wrap(errNoRetry, "ended")
+	case c.nextHedge != nil:
+		return nil // the request has been sent again already
 	case c.timeLeft(c.cfg.Clock.Now()) < minRetryTime:
 		return errors.Wrap(errNoRetry, "no time left")
 	case c.attemptCount >= maxAttempts:
--- a/request/forward/send.go
+++ b/request/forward/send.go
@@ -47,16 +47,26 @@
 )
 
 // makeAttempt makes one attempt at the server of a slot: it gets a connection,
-// sends the request, and forwards the response if it is valid.
-func (c *call) makeAttempt(ctx context.Context, slot dispatch.Slot) attemptResult {
+// sends the request, and forwards the response if it is valid. If h is not nil, the
+// attempt has begun already.
+func (c *call) makeAttempt(ctx context.Context, slot dispatch.Slot, h *hedge) attemptResult {
 	c.attemptCount++
-	c.stats.attempts.Inc(1)
 	// A request that may not be repeated uses a new connection, because a server
 	// may close an idle connection while the request is being sent. So does a request
 	// that comes to a server again: on the earlier connection, a late copy of the
 	// earlier response could not be told from the response.
 	useNewConn := !c.route.Repeatable() || slices.Contains(c.attemptServers, slot.Server.ID)
 	c.attemptServers = append(c.attemptServers, slot.Server.ID)
+	if h != nil {
+		return c.continueHedge(ctx, h)
+	}
+	c.stats.attempts.Inc(1)
+	return c.onConnection(ctx, slot, useNewConn, func(conn *backend.Conn) attemptResult { return c.exchange(ctx, conn, slot) })
+}
+
+// onConnection calls exchange with a connection to the server of a slot. If that was an
+// idle one that turns out to be unusable, it calls exchange again with a new one.
+func (c *call) onConnection(ctx context.Context, slot dispatch.Slot, useNewConn bool, exchange func(*backend.Conn) attemptResult) attemptResult {
 	for {
 		conn, err := c.cfg.Pool.Get(ctx, slot.Server.Addr, useNewConn)
 		if err != nil {
@@ -66,7 +76,7 @@
 			conn.Close()
 			return c.markEnded(ctx, attemptResult{outcome: dispatch.Paused, err: errNotWanted})
 		}
-		r := c.exchange(ctx, conn, slot)
+		r := exchange(conn)
 		if !errors.Is(r.err, backend.ErrNotSent) {
 			return r
 		}
@@ -85,64 +95,6 @@
 	return r
 }
 
-// exchange sends the request on a connection and handles the response. Then it
-// returns the connection to the pool, or closes the connection if it cannot be
-// used again.
-func (c *call) exchange(ctx context.Context, conn *backend.Conn, slot dispatch.Slot) attemptResult {
-	stop := context.AfterFunc(ctx, conn.Abort)
-	defer stop()
-	watch := c.newStallWatch(ctx, conn.Abort, slot)
-	defer watch.stop()
-	if !watch.awaitBegin(slot) {
-		conn.Close()
-		return c.markEnded(ctx, attemptResult{outcome: dispatch.Outdated, err: errOutdated})
-	}
-	reused, sentAt := conn.Used(), c.cfg.Clock.Now()
-	left := c.timeLeft(sentAt)
-	if err := c.checkTime(left); err != nil {
-		conn.Close()
-		return attemptResult{outcome: dispatch.Cancelled, err: err}
-	}
-	resp, err := conn.Do(ctx, c.requestHead(slot, left), c.httpReq, c.body, c.isFinalResponse)
-	if errors.Is(err, backend.ErrNotSent) {
-		conn.Close()
-		return attemptResult{outcome: dispatch.Broken, err: err}
-	}
-	if err != nil {
-		conn.Close()
-		c.mayHaveRunAt[slot.Server.ID] = true
-		return c.markEnded(ctx, watch.markClosed(attemptResult{outcome: dispatch.Broken, err: err, mayHaveArrived: true, mayHaveRun: true}))
-	}
-	r := c.receive(ctx, resp, slot, watch, reused)
-	r.sentAt, r.status, r.endedWithConn = sentAt, resp.StatusCode, backend.EndsWithConn(resp)
-	watch.stop()
-	if r.err != nil {
-		conn.Close()
-		return c.markEnded(ctx, watch.markClosed(r))
-	}
-	if stop() && !watch.closedConn() {
-		c.cfg.Pool.Put(conn, resp)
-	}
-	return r
-}
-
-// receive handles a response and what its header says about the server. reused is true
-// if the connection has carried other requests.
-func (c *call) receive(ctx context.Context, resp *http.Response, slot dispatch.Slot, watch *stallWatch, reused bool) attemptResult {
-	c.cfg.Scheduler.RecordActivity(slot)
-	c.recordLimit(slot, resp)
-	c.recordLeaving(slot, resp)
-	paused := c.recordPause(slot, resp)
-	if reused && c.lacksID(resp) {
-		return c.handleUnidentified(resp, slot)
-	}
-	r := c.handleResponse(ctx, resp, slot, watch)
-	if paused && r.err == nil && (r.outcome == dispatch.Full || r.outcome == dispatch.Broken) {
-		r.outcome = dispatch.Paused
-	}
-	return r
-}
-
 // isFinalResponse reports whether resp is a final response to this request. The
 // status of such a response is not 1xx, and its request ID is missing or equal to
 // the ID of this request.
@@ -162,15 +114,7 @@
 	}
 	c.mayHaveRunAt[slot.Server.ID] = true
 	r := attemptResult{outcome: dispatch.Broken, mayHaveArrived: true, mayHaveRun: true}
-	switch {
-	case resp.Header.Get(c.cfg.Headers.Receipt) == "":
-		r.err = errNoReceipt
-		return r
-	case resp.Header.Get("Content-Encoding") != "":
-		r.err = errEncoded
-		return r
-	case promisesNotRun(resp.StatusCode) && !c.route.Repeatable():
-		r.err = errUnfoundedPromise
+	if r.err = c.checkHead(resp); r.err != nil {
 		return r
 	}
 	if c.isEventStream(resp) {
@@ -199,6 +143,20 @@
 	return r
 }
 
+// checkHead returns why the response of a server that may have run the request must not be
+// forwarded, or nil.
+func (c *call) checkHead(resp *http.Response) error {
+	switch {
+	case resp.Header.Get(c.cfg.Headers.Receipt) == "":
+		return errNoReceipt
+	case resp.Header.Get("Content-Encoding") != "":
+		return errEncoded
+	case promisesNotRun(resp.StatusCode) && !c.route.Repeatable():
+		return errUnfoundedPromise
+	}
+	return nil
+}
+
 // handleNotRun returns the result of an attempt at a server that did not run the
 // request. It reads the response completely, so that the connection can be used
 // again.
@@ -264,8 +222,8 @@
 }
 
 // requestHead returns the request line and the header to send to the server. left is the
-// time until the deadline.
-func (c *call) requestHead(slot dispatch.Slot, left time.Duration) string {
+// time until the deadline, and lastEventID the ID of the last event that the client has.
+func (c *call) requestHead(slot dispatch.Slot, left time.Duration, lastEventID string) string {
 	names := &c.cfg.Headers
 	var b strings.Builder
 	b.Grow(512)
@@ -297,8 +255,8 @@
 	if slot.Version > 0 {
 		writeHeader(names.ExpectVersion, strconv.Itoa(slot.Version))
 	}
-	if c.lastEventID != "" {
-		writeHeader(names.LastEventID, c.lastEventID)
+	if lastEventID != "" {
+		writeHeader(names.LastEventID, lastEventID)
 	}
 	b.WriteString("\r\n")
 	return b.String()
--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -3,47 +3,81 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/request/dispatch"
 	"github.com/rattanway/rattanway/version/catalog"
 )
 
-// stallWatch closes the connection to a server that sends nothing for too long,
-// if another server can run the request, and to one that has not begun the request when
-// its weights become outdated.
+// stallWatch begins a hedge of an attempt whose server sends nothing for too long, if
+// another server can run the request. It closes the connection to the first server once the
+// request has begun at the second one.
 type stallWatch struct {
 	call *call
+	ctx  context.Context
 	// slot is the slot of the attempt.
 	slot dispatch.Slot
-	// retryReq describes the request for the search for another server: the present
-	// server counts as tried.
-	retryReq dispatch.Request
-	ctx      context.Context
 	// abort closes the connection.
 	abort func()
-	mu    sync.Mutex // protects timer, cancelSearch and found
-	// timer is nil if the connection is not watched.
+	// pending is the request until it begins; nil if it has not been sent.
+	pending *dispatch.PendingBegin
+	// attemptServers lists the servers of the attempts so far.
+	attemptServers []string
+	// startHedge runs a hedge in the background and then calls hedgeBegun or hedgeFailed.
+	startHedge func(*hedge)
+	// takenOver is true once the hedge has begun and the watch has closed the connection.
+	takenOver atomic.Bool
+	// reason is the outcome of the attempt if takenOver is true.
+	reason dispatch.Outcome
+
+	mu sync.Mutex // protects the fields below
+	// timer is nil if the attempt has ended or must not be hedged.
 	timer *time.Timer
+	// retryReq describes the request for the search for another server: those that have got
+	// it count as tried. The map in it is not changed.
+	retryReq dispatch.Request
+	// runsLeft is the number of further servers that may run the request, and attemptsLeft
+	// the number of further attempts.
+	runsLeft, attemptsLeft int
 	// cancelSearch ends the search for a slot at another server; nil without a search.
 	cancelSearch context.CancelFunc
-	// found is the slot that the search has found; nil without one.
-	found *dispatch.Slot
-	// stalled is true once the watch has closed the connection because of a stall.
-	stalled atomic.Bool
-	// pending is the request until it begins; nil before awaitBegin.
-	pending *dispatch.PendingBegin
+	// hedge is the hedge in progress; nil without one.
+	hedge *hedge
+	// spent are the hedges that have ended without taking over.
+	spent []spentHedge
+	// lastEventID and headerSent describe what the client has of the response.
+	lastEventID string
+	headerSent  bool
+	// silentSince is when the server last sent an event, or got the request.
+	silentSince time.Time
+}
+
+// spentHedge is a hedge that has ended without taking over.
+type spentHedge struct {
+	server     string
+	mayHaveRun bool
 }
 
 // newStallWatch returns a watch that waits for the first byte of a response. If
 // the request must not be sent to another server, the watch does nothing.
 func (c *call) newStallWatch(ctx context.Context, abort func(), slot dispatch.Slot) *stallWatch {
-	w := &stallWatch{call: c, ctx: ctx, abort: abort, slot: slot, retryReq: c.dispatchReq}
-	w.retryReq.TriedServers = maps.Clone(c.dispatchReq.TriedServers)
-	w.retryReq.TriedServers[slot.Server.ID] = true
-	if !c.route.Repeatable() || len(c.mayHaveRunAt)+1 >= c.route.MaxServers {
+	w := &stallWatch{
+		call: c, ctx: ctx, abort: abort, slot: slot, retryReq: c.dispatchReq, attemptServers: slices.Clone(c.attemptServers),
+		runsLeft: c.route.MaxServers - len(c.mayHaveRunAt) - 1, attemptsLeft: maxAttempts - c.attemptCount,
+		lastEventID: c.lastEventID, headerSent: c.headerSent, silentSince: c.cfg.Clock.Now(),
+	}
+	w.startHedge = func(h *hedge) {
+		go func() {
+			h.run()
+			w.endHedge(h)
+		}()
+	}
+	w.addTried(slot.Server.ID)
+	if !c.route.Repeatable() || !w.mayHedge() {
 		return w
 	}
 	timeout := firstEventTimeout
@@ -56,12 +90,20 @@
 	return w
 }
 
-// onTimeout closes the connection if another server has a free slot and the retry
-// budget allows a retry. Otherwise the connection stays open, because the server
-// may still respond. Without a free slot, onTimeout is called again after
-// stallRecheckInterval. If the retry budget does not allow a retry, it is called
-// again only after the server has sent an event. A stream whose server is silent waits
-// for a slot.
+// addTried excludes a server from further searches. The caller holds w.mu.
+func (w *stallWatch) addTried(server string) {
+	tried := maps.Clone(w.retryReq.TriedServers)
+	tried[server] = true
+	w.retryReq.TriedServers = tried
+}
+
+// mayHedge reports whether a further server may get the request. The caller holds w.mu.
+func (w *stallWatch) mayHedge() bool { return w.hedge == nil && w.runsLeft > 0 && w.attemptsLeft > 0 }
+
+// onTimeout begins a hedge if another server has a free slot and the retry budget allows a
+// retry. Without a free slot, onTimeout is called again after stallRecheckInterval. If the
+// retry budget does not allow a retry, it is called again only after the server has sent an
+// event. A stream whose server is silent waits for a slot.
 func (w *stallWatch) onTimeout() {
 	scheduler := w.call.cfg.Scheduler
 	recheck := stallRecheckInterval
@@ -70,63 +112,55 @@
 	if w.call.route.Kind == catalog.KindStream {
 		untilSilent := scheduler.UntilSilent(w.slot)
 		if untilSilent <= 0 {
-			w.leaveSilentServer()
+			w.searchBeforeWaiting()
 			return
 		}
 		recheck = min(recheck, max(untilSilent, time.Millisecond))
 	}
-	switch {
-	case w.ctx.Err() != nil:
+	req, ok := w.searchRequest(nil)
+	if !ok || w.ctx.Err() != nil {
 		return
-	case !scheduler.HasFreeSlot(&w.retryReq):
+	}
+	slot, ok := scheduler.TryAcquire(req)
+	if !ok {
 		w.resetTimer(recheck)
 		return
-	case !scheduler.TakeRetry(w.retryReq.Service):
-		return
 	}
-	w.stalled.Store(true)
-	w.abort()
+	w.beginHedge(w.ctx, slot)
 }
 
-// leaveSilentServer waits for a slot at another server, before the requests that wait
-// for one, and then closes the connection if the retry budget allows a retry. The wait
-// ends without a slot when the server sends an event, when the attempt ends, or when too
-// little time is left.
-func (w *stallWatch) leaveSilentServer() {
-	scheduler := w.call.cfg.Scheduler
-	ctx, cancel := context.WithDeadline(w.ctx, w.retryReq.Deadline.Add(-minRetryTime))
+// searchBeforeWaiting waits for a slot at another server, before the requests that wait
+// for one, and then begins a hedge. The wait ends without a slot when the server sends an
+// event, when the attempt ends, or when too little time is left.
+func (w *stallWatch) searchBeforeWaiting() {
+	ctx, cancel := context.WithDeadline(w.ctx, w.call.dispatchReq.Deadline.Add(-minRetryTime))
 	defer cancel()
-	if !w.beginSearch(cancel) {
+	req, ok := w.searchRequest(cancel)
+	if !ok {
 		return
 	}
-	slot, err := scheduler.AcquireBeforeWaiting(ctx, &w.retryReq)
-	if err != nil {
-		return
+	if slot, err := w.call.cfg.Scheduler.AcquireBeforeWaiting(ctx, req); err == nil {
+		w.beginHedge(ctx, slot)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	// The budget is asked last, so that only a move counts as a retry.
-	if ctx.Err() != nil || !scheduler.TakeRetry(w.retryReq.Service) {
-		scheduler.Release(slot, dispatch.Cancelled)
-		return
-	}
-	w.found = &slot
-	w.stalled.Store(true)
-	w.abort()
 }
 
-// beginSearch records how to end the search for another slot. It returns false if the
-// connection is no longer watched.
-func (w *stallWatch) beginSearch(cancel context.CancelFunc) bool {
+// searchRequest returns the request for a search that cancel ends; cancel is nil if the
+// search does not wait. It returns false if the attempt must not be hedged.
+func (w *stallWatch) searchRequest(cancel context.CancelFunc) (*dispatch.Request, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.timer == nil {
-		return false
+	if w.timer == nil || !w.mayHedge() {
+		return nil, false
 	}
 	w.cancelSearch = cancel
-	return true
+	req := w.retryReq
+	return &req, true
 }
 
+// moveRequest returns the request for the search of a streamMover. It returns false if the
+// attempt must not be hedged.
+func (w *stallWatch) moveRequest() (*dispatch.Request, bool) { return w.searchRequest(nil) }
+
 // endSearch ends the search for another slot, if one is in progress. The caller holds
 // w.mu.
 func (w *stallWatch) endSearch() {
@@ -136,24 +170,107 @@
 	}
 }
 
-// awaitBegin begins to wait for the begin of the request at the server of slot. It
-// returns false if the request must not be sent, because the weights there are too old.
-func (w *stallWatch) awaitBegin(slot dispatch.Slot) bool {
-	var ok bool
-	w.pending, ok = w.call.cfg.Scheduler.AwaitBegin(slot, w.call.dispatchReq.Model, w.abort)
-	return ok
+// beginHedge begins a hedge in a slot that a search has found, unless the search was
+// cancelled by the end of ctx or the retry budget does not allow it.
+func (w *stallWatch) beginHedge(ctx context.Context, slot dispatch.Slot) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	scheduler := w.call.cfg.Scheduler
+	// The budget is asked last, so that only a hedge counts as a retry.
+	if ctx.Err() != nil || w.timer == nil || !w.mayHedge() || !scheduler.TakeRetry(w.retryReq.Service) {
+		scheduler.Release(slot, dispatch.Cancelled)
+		return
+	}
+	w.start(slot, dispatch.Stalled)
 }
 
-// recordActivity restarts the timeout, because the server has sent an event. It
-// does nothing once the watch has closed the connection.
+// beginMove begins a hedge for a stream that is to be moved. Its retry is counted already.
+func (w *stallWatch) beginMove(slot dispatch.Slot) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || !w.mayHedge() {
+		w.call.cfg.Scheduler.Release(slot, dispatch.Cancelled)
+		return
+	}
+	w.start(slot, dispatch.Moved)
+}
+
+// start begins a hedge. The caller holds w.mu.
+func (w *stallWatch) start(slot dispatch.Slot, reason dispatch.Outcome) {
+	w.endSearch()
+	w.attemptsLeft--
+	w.hedge = w.newHedge(slot, reason)
+	w.call.stats.attempts.Inc(1)
+	w.call.logEvent(eventHedged, eventlog.Fields{
+		"server": slot.Server.ID, "first": w.slot.Server.ID, "reason": reason.String(),
+		"silentMs": w.call.cfg.Clock.Now().Sub(w.silentSince).Milliseconds(), "version": slot.Version, "running": slot.RunningCount,
+	})
+	w.startHedge(w.hedge)
+}
+
+// endHedge is called when a hedge has begun or failed. The attempt ends if the hedge has
+// begun, unless it is no longer needed.
+func (w *stallWatch) endHedge(h *hedge) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.hedge != h {
+		return
+	}
+	if h.exchange != nil {
+		w.reason = h.reason
+		w.takenOver.Store(true)
+		w.abort()
+		return
+	}
+	w.spend(h.result)
+	w.call.cfg.Scheduler.Release(h.slot, h.result.outcome)
+	w.call.recordEffect(h.slot.Server, &h.result)
+	h.cancel()
+	if w.timer != nil && h.reason == dispatch.Stalled {
+		w.timer.Reset(stallRecheckInterval)
+	}
+}
+
+// spend records the result of the hedge in progress, which does not take over. The caller
+// holds w.mu.
+func (w *stallWatch) spend(r attemptResult) {
+	w.spent = append(w.spent, spentHedge{w.hedge.slot.Server.ID, r.mayHaveRun})
+	w.call.logAttempt(w.hedge.slot, &r, "the first server is still waited for")
+	if r.mayHaveRun {
+		w.runsLeft--
+		w.addTried(w.hedge.slot.Server.ID)
+	}
+	w.hedge = nil
+}
+
+// recordActivity stops the timeout, because the server has sent an event. A hedge that was
+// begun because of its silence is discarded. It does nothing once a hedge has taken over.
 func (w *stallWatch) recordActivity() {
-	w.pending.End()
+	if w.pending != nil {
+		w.pending.End()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.timer == nil || w.stalled.Load() {
+	if w.timer == nil || w.takenOver.Load() {
 		return
 	}
+	w.timer.Stop()
 	w.endSearch()
+	w.silentSince = w.call.cfg.Clock.Now()
+	if h := w.hedge; h != nil && h.reason == dispatch.Stalled {
+		w.spend(attemptResult{outcome: dispatch.Cancelled, err: errOvertaken, mayHaveArrived: true, mayHaveRun: true})
+		h.discard()
+	}
+}
+
+// awaitNext restarts the timeout, because the client has got the event with the given ID.
+func (w *stallWatch) awaitNext(lastEventID string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || w.takenOver.Load() {
+		return
+	}
+	w.lastEventID, w.headerSent = lastEventID, true
 	w.timer.Reset(eventTimeout)
 }
 
@@ -167,8 +284,8 @@
 	}
 }
 
-// stop ends the watch. It does not close the connection. The request goes on in the slot
-// that the watch has found, unless it has one already.
+// stop ends the watch. It does not close the connection. The request goes on with the hedge
+// in progress, if there is one. Only the goroutine of the call calls stop.
 func (w *stallWatch) stop() {
 	if w.pending != nil {
 		w.pending.End()
@@ -180,29 +297,39 @@
 		w.timer = nil
 	}
 	w.endSearch()
-	if w.found == nil {
-		return
+	c := w.call
+	for _, s := range w.spent {
+		c.attemptCount++
+		c.attemptServers = append(c.attemptServers, s.server)
+		if s.mayHaveRun {
+			c.mayHaveRunAt[s.server] = true
+			c.dispatchReq.TriedServers[s.server] = true
+		}
 	}
-	if w.call.moveTarget == nil {
-		w.call.moveTarget = w.found
-	} else {
-		w.call.cfg.Scheduler.Release(*w.found, dispatch.Cancelled)
+	w.spent = nil
+	if w.hedge != nil {
+		c.nextHedge = w.hedge
+		w.hedge = nil
 	}
-	w.found = nil
 }
 
+// recalled reports whether the request has been recalled, because the weights of the server
+// became outdated before it began the request.
+func (w *stallWatch) recalled() bool { return w.pending != nil && w.pending.Recalled() }
+
 // closedConn reports whether the watch has closed the connection, or is about to.
-func (w *stallWatch) closedConn() bool { return w.pending.Recalled() || w.stalled.Load() }
+func (w *stallWatch) closedConn() bool { return w.recalled() || w.takenOver.Load() }
 
-// markClosed returns r. If the watch has closed the connection, it first sets
-// the outcome to [dispatch.Outdated] or [dispatch.Stalled].
+// markClosed returns r. If the watch has closed the connection, it first sets the outcome to
+// [dispatch.Outdated], [dispatch.Stalled] or [dispatch.Moved].
 func (w *stallWatch) markClosed(r attemptResult) attemptResult {
-	if w.pending.Recalled() {
+	switch {
+	case w.recalled():
 		r.outcome, r.err = dispatch.Outdated, errOutdated
-		return r
-	}
-	if w.stalled.Load() {
-		r.outcome, r.err, r.retryCounted = dispatch.Stalled, errStalled, true
+	case w.takenOver.Load() && w.reason == dispatch.Moved:
+		r.outcome, r.err = dispatch.Moved, errMoved
+	case w.takenOver.Load():
+		r.outcome, r.err = dispatch.Stalled, errStalled
 	}
 	return r
 }
--- a/request/forward/stallwatch_test.go
+++ b/request/forward/stallwatch_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	gometrics "github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/rattanway/rattanway/process/eventlog"
@@ -27,9 +28,11 @@
 	// leave is called when the client leaves.
 	leave context.CancelFunc
 	start time.Time
-	// abortedAfter is when after the start the watch closed the connection; 0 if it did
-	// not.
-	abortedAfter time.Duration
+	// abortedAfter is when after the start the watch closed the connection, and hedgedAfter
+	// when it began the last hedge; 0 if it did not.
+	abortedAfter, hedgedAfter time.Duration
+	// hedgeBegins makes the hedge in progress begin at its server.
+	hedgeBegins chan struct{}
 }
 
 // watchSlots is the number of requests that a server of a watchFixture takes.
@@ -51,7 +54,7 @@
 	holder.Apply([]catalog.Change{{Config: &catalog.Config{
 		Version: 1, Services: map[string]*catalog.Service{"registry": {Name: "registry"}},
 	}}}, true, false, time.Now())
-	f := &watchFixture{start: time.Now()}
+	f := &watchFixture{start: time.Now(), hedgeBegins: make(chan struct{})}
 	f.scheduler = dispatch.NewScheduler(dispatch.Config{
 		DataCentre: "palermo", Regions: map[string]string{"palermo": "sicily"}, MaxWaitShare: 0.1,
 		// The budget uses four fifths of its limits.
@@ -60,9 +63,12 @@
 	ctx, leave := context.WithTimeout(t.Context(), r.Timeout)
 	f.leave = leave
 	f.call = &call{
-		Handler: &Handler{cfg: Config{Scheduler: f.scheduler, Clock: clockwork.NewRealClock()}},
-		route:   &r, mayHaveRunAt: map[string]bool{}, dispatchReq: f.request(r.Timeout),
+		Handler: New(Config{
+			Scheduler: f.scheduler, Clock: clockwork.NewRealClock(), Log: eventlog.Discard(), Metrics: gometrics.NewRegistry(),
+		}),
+		snapshot: holder.Current(), route: &r, mayHaveRunAt: map[string]bool{}, dispatchReq: f.request(r.Timeout),
 	}
+	f.call.dispatchReq.PromptParts = []dispatch.PromptPart{{ID: "whole", Position: dispatch.WholeRequest}}
 	apply("busy")
 	for range watchSlots {
 		f.busy = append(f.busy, f.acquire(t))
@@ -71,10 +77,34 @@
 	apply("busy", "silent")
 	f.slot = f.acquire(t)
 	f.watch = f.call.newStallWatch(ctx, func() { f.abortedAfter = time.Since(f.start) }, f.slot)
-	f.watch.awaitBegin(f.slot)
+	f.watch.startHedge = f.startHedge
 	return f
 }
 
+// startHedge stands in for the attempt of a hedge, which lasts until it is cancelled or
+// hedgeBegins is sent to.
+func (f *watchFixture) startHedge(h *hedge) {
+	f.hedgedAfter = time.Since(f.start)
+	go func() {
+		select {
+		case <-f.hedgeBegins:
+			h.exchange = &serverExchange{slot: h.slot}
+		case <-h.ctx.Done():
+			h.result = attemptResult{outcome: dispatch.Cancelled, err: h.ctx.Err()}
+		}
+		close(h.done)
+		f.watch.endHedge(h)
+	}()
+}
+
+// serverEvent makes the server of the request send an event, which the client gets.
+func (f *watchFixture) serverEvent() {
+	f.watch.recordActivity()
+	f.scheduler.RecordActivity(f.slot)
+	f.watch.awaitNext("1")
+	synctest.Wait()
+}
+
 func (f *watchFixture) request(timeout time.Duration) dispatch.Request {
 	now := time.Now()
 	return dispatch.Request{
@@ -132,7 +162,7 @@
 func (f *watchFixture) finish() map[string]int {
 	f.watch.stop()
 	f.scheduler.Release(f.slot, dispatch.Cancelled)
-	f.call.releaseUnusedSlot()
+	f.call.discardUnusedHedge()
 	f.leave()
 	synctest.Wait()
 	for _, slot := range f.busy {
@@ -150,22 +180,31 @@
 	const plenty = 10
 
 	Convey("Under full load it gets the next slot, before those that wait, and those get the ones after that", t, func() {
-		var moved, target, counted bool
-		var abortedAfter time.Duration
+		var moved, target, stalled, kept bool
+		var hedgedAfter, abortedAfter time.Duration
 		var waited int
 		var left map[string]int
 		virtually(t, func(t *testing.T) {
 			f := newWatchFixture(t, stream, plenty)
 			others := f.waitInQueue(t, 2)
 			f.silentFor(firstEventTimeout + 50*time.Millisecond)
-			moved = f.abortedAfter > 0
+			moved = f.hedgedAfter > 0
 			f.releaseBusy()
-			abortedAfter = f.abortedAfter
+			hedgedAfter = f.hedgedAfter
 			waited = len(others)
+			f.silentFor(300 * time.Millisecond)
+			kept = f.abortedAfter == 0 && !f.watch.closedConn()
+			f.hedgeBegins <- struct{}{}
+			synctest.Wait()
+			abortedAfter = f.abortedAfter
 			r := f.watch.markClosed(attemptResult{outcome: dispatch.Broken})
-			counted = r.retryCounted && r.outcome == dispatch.Stalled
+			stalled = r.outcome == dispatch.Stalled
 			f.watch.stop()
-			target = f.call.moveTarget != nil && f.call.moveTarget.Server.ID == "busy"
+			h := f.call.nextHedge
+			target = h != nil && h.slot.Server.ID == "busy" && f.call.checkRetry(t.Context(), &r) == nil
+			f.call.nextHedge = nil
+			h.cancel()
+			f.scheduler.Release(h.slot, dispatch.Cancelled)
 			f.releaseBusy()
 			f.scheduler.Release(<-others, dispatch.Served)
 			synctest.Wait()
@@ -173,9 +212,11 @@
 			left = f.finish()
 		})
 		So(moved, ShouldBeFalse)
-		So(abortedAfter, ShouldEqual, firstEventTimeout+50*time.Millisecond)
+		So(hedgedAfter, ShouldEqual, firstEventTimeout+50*time.Millisecond)
 		So(waited, ShouldEqual, 0)
-		So(counted, ShouldBeTrue)
+		So(kept, ShouldBeTrue)
+		So(abortedAfter, ShouldEqual, hedgedAfter+300*time.Millisecond)
+		So(stalled, ShouldBeTrue)
 		So(target, ShouldBeTrue)
 		So(left, ShouldBeEmpty)
 	})
@@ -188,13 +229,11 @@
 			f := newWatchFixture(t, stream, plenty)
 			waiting := f.waitInQueue(t, 1)
 			f.silentFor(firstEventTimeout + 50*time.Millisecond)
-			f.watch.recordActivity()
-			f.scheduler.RecordActivity(f.slot)
-			synctest.Wait()
+			f.serverEvent()
 			f.releaseBusy()
 			others = len(waiting)
 			f.scheduler.Release(<-waiting, dispatch.Served)
-			aborted, target = f.abortedAfter > 0, f.call.moveTarget != nil
+			aborted, target = f.hedgedAfter > 0, f.call.nextHedge != nil
 			left = f.finish()
 		})
 		So(aborted, ShouldBeFalse)
@@ -204,20 +243,19 @@
 	})
 
 	Convey("A server that falls silent again after an event is left again", t, func() {
-		var abortedAfter time.Duration
+		var hedgedAfter time.Duration
 		var left map[string]int
 		virtually(t, func(t *testing.T) {
 			f := newWatchFixture(t, stream, plenty)
 			f.silentFor(firstEventTimeout + 50*time.Millisecond)
-			f.watch.recordActivity()
-			f.scheduler.RecordActivity(f.slot)
+			f.serverEvent()
 			f.releaseBusy()
 			// There is a free slot now, but no reason to use it before eventTimeout.
 			f.silentFor(eventTimeout + 10*time.Millisecond)
-			abortedAfter = f.abortedAfter
+			hedgedAfter = f.hedgedAfter
 			left = f.finish()
 		})
-		So(abortedAfter, ShouldBeBetweenOrEqual, firstEventTimeout+50*time.Millisecond+eventTimeout, firstEventTimeout+60*time.Millisecond+eventTimeout)
+		So(hedgedAfter, ShouldBeBetweenOrEqual, firstEventTimeout+50*time.Millisecond+eventTimeout, firstEventTimeout+60*time.Millisecond+eventTimeout)
 		So(left, ShouldBeEmpty)
 	})
 
@@ -239,8 +277,8 @@
 					others = len(waiting)
 				}
 				f.watch.stop()
-				f.call.releaseUnusedSlot()
-				f.call.moveTarget = nil
+				f.call.discardUnusedHedge()
+				f.call.nextHedge = nil
 				synctest.Wait()
 				f.scheduler.Release(<-waiting, dispatch.Served)
 				left = f.finish()
@@ -283,7 +321,7 @@
 				f.watch.endSearch()
 				f.watch.mu.Unlock()
 				synctest.Wait()
-				aborted = aborted || f.abortedAfter > 0
+				aborted = aborted || f.hedgedAfter > 0
 				if running := f.finish(); len(running) > 0 {
 					left = append(left, running)
 				}
@@ -303,7 +341,7 @@
 			f.silentFor(firstEventTimeout + 50*time.Millisecond)
 			f.releaseBusy()
 			others = len(waiting)
-			aborted = f.abortedAfter > 0
+			aborted = f.hedgedAfter > 0
 			f.scheduler.Release(<-waiting, dispatch.Served)
 			left = f.finish()
 		})
@@ -324,7 +362,7 @@
 		So(allowed, ShouldBeTrue)
 	})
 
-	Convey("A slot that is found when the stream has another one already is given back", t, func() {
+	Convey("A slot that is found when the stream moves to another one already is given back", t, func() {
 		var target string
 		var left map[string]int
 		virtually(t, func(t *testing.T) {
@@ -332,16 +370,40 @@
 			f.silentFor(firstEventTimeout + 50*time.Millisecond)
 			other := f.busy[0]
 			f.busy = f.busy[1:]
-			f.call.moveTarget = &other
+			f.watch.beginMove(other)
 			f.releaseBusy()
 			f.watch.stop()
-			target = f.call.moveTarget.Server.ID
+			target = f.call.nextHedge.slot.Server.ID
 			left = f.finish()
 		})
 		So(target, ShouldEqual, "busy")
 		So(left, ShouldBeEmpty)
 	})
 
+	Convey("The first server wins if it sends an event before the hedge has begun, and no third server gets the request", t, func() {
+		var aborted, next bool
+		var runs map[string]bool
+		var hedgedAfter time.Duration
+		var left map[string]int
+		virtually(t, func(t *testing.T) {
+			f := newWatchFixture(t, stream, plenty)
+			f.releaseBusy()
+			f.silentFor(firstEventTimeout + 50*time.Millisecond)
+			f.serverEvent()
+			hedgedAfter = f.hedgedAfter
+			f.silentFor(2 * eventTimeout)
+			aborted = f.abortedAfter > 0 || f.hedgedAfter != hedgedAfter
+			f.watch.stop()
+			next, runs = f.call.nextHedge != nil, f.call.mayHaveRunAt
+			left = f.finish()
+		})
+		So(hedgedAfter, ShouldBeBetweenOrEqual, firstEventTimeout, firstEventTimeout+50*time.Millisecond)
+		So(aborted, ShouldBeFalse)
+		So(next, ShouldBeFalse)
+		So(runs, ShouldResemble, map[string]bool{"busy": true})
+		So(left, ShouldBeEmpty)
+	})
+
 	Convey("The wait ends when too little time is left", t, func() {
 		var aborted bool
 		var left map[string]int
@@ -349,7 +411,7 @@
 			f := newWatchFixture(t, stream, plenty)
 			f.silentFor(stream.Timeout - minRetryTime)
 			f.releaseBusy()
-			aborted = f.abortedAfter > 0
+			aborted = f.hedgedAfter > 0
 			left = f.finish()
 		})
 		So(aborted, ShouldBeFalse)
@@ -374,7 +436,7 @@
 				f.releaseBusy()
 				others = len(waiting)
 				f.scheduler.Release(<-waiting, dispatch.Served)
-				aborted = f.abortedAfter > 0
+				aborted = f.hedgedAfter > 0
 				left = f.finish()
 			})
 			So(aborted, ShouldBeFalse)
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -39,13 +39,12 @@
 }
 
 // forwardStream forwards each event once the event has arrived completely. If the
-// stream is to be moved to another server, it returns between two events, with
-// the outcome [dispatch.Moved].
+// stream goes on at another server, the connection ends, at any place.
 func (c *call) forwardStream(ctx context.Context, resp *http.Response, slot dispatch.Slot, watch *stallWatch) attemptResult {
 	r := attemptResult{outcome: dispatch.Broken, mayHaveArrived: true, mayHaveRun: true}
 	reader := bufio.NewReaderSize(resp.Body, 1<<10)
 	c.resumed = c.headerSent
-	mover := streamMover{call: c, from: slot}
+	mover := streamMover{call: c, watch: watch, from: slot}
 	defer mover.cancel()
 	// bytesWithoutData is the size of the events since the last one with data.
 	bytesWithoutData := 0
@@ -64,7 +63,8 @@
 			r.err = errNoData
 			return r
 		}
-		if hasData(event) {
+		withData := hasData(event)
+		if withData {
 			// A server that sends only comments is stalled.
 			bytesWithoutData = 0
 			if r.begunAt.IsZero() {
@@ -79,10 +79,11 @@
 			}
 			return r
 		}
-		if mover.tryMove(ctx) {
-			r.outcome, r.err, r.retryCounted = dispatch.Moved, errMoved, true
-			return r
+		if withData {
+			// The time for which a slow client blocks the write is no silence of the server.
+			watch.awaitNext(c.lastEventID)
 		}
+		mover.tryMove(ctx)
 	}
 }
 
