Hedges do not begin because this process was paused

After a pause of an entry instance all timers over its attempts fire at once, before it has read what the servers have sent meanwhile. Each request then spent its second server and the service its retry budget, without a silent server. Found by reading; cause: the time without an event included the time in which this process did not run. A timer that is more than 200 ms late now waits for 200 ms more.

The new case of TestRequestLeavesASilentServer fails without the change (a hedge begins at 1.45 s, expected none). The fixture of that test no longer starts the goroutine of go-metrics in virtual time, which kept a run of that test alone from ending.

--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -104,7 +104,7 @@
 	// known yet.
 	retryAfterUnready = 300 * time.Millisecond
 	// firstEventTimeout and eventTimeout apply to a stream that can be continued at
-	// another server. The stream is continued there if no event has arrived for
+	// another server. The stream is hedged there if no event has arrived for
 	// firstEventTimeout before its first event, or for eventTimeout after an event,
 	// and if another server has a free slot. Clients give up after 2 s or more; an
 	// event is due every 50 ms.
@@ -113,12 +113,15 @@
 	// stallRecheckInterval is the time between two searches for another server for a
 	// request whose present server sends nothing.
 	stallRecheckInterval = 200 * time.Millisecond
+	// maxTimerDelay is by how much the timer of a stallWatch may be late unless this
+	// process did not run for a while.
+	maxTimerDelay = 200 * time.Millisecond
 	// retryWait is the longest wait for a slot at another server for a request that
 	// has possibly run already. It applies even if the objective of the request
 	// allows only a shorter wait. It is below 2 s because clients give up a stream
 	// after 2 s without an event.
 	retryWait = time.Second
 	// responseTimeoutFactor times the objective is the time without a response after
-	// which a repeatable request that is not a stream is sent to another server.
+	// which a repeatable request that is not a stream is hedged at another server.
 	responseTimeoutFactor = 2
 )
--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -35,8 +35,9 @@
 	reason dispatch.Outcome
 
 	mu sync.Mutex // protects the fields below
-	// timer is nil if the attempt has ended or must not be hedged.
+	// timer is nil if the attempt has ended or must not be hedged. It is due at dueAt.
 	timer *time.Timer
+	dueAt time.Time
 	// retryReq describes the request for the search for another server: those that have got
 	// it count as tried. The map in it is not changed.
 	retryReq dispatch.Request
@@ -86,6 +87,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.dueAt = c.cfg.Clock.Now().Add(timeout)
 	w.timer = time.AfterFunc(timeout, w.onTimeout)
 	return w
 }
@@ -103,8 +105,13 @@
 // onTimeout begins a hedge if another server has a free slot and the retry budget allows a
 // retry. Without a free slot, onTimeout is called again after stallRecheckInterval. If the
 // retry budget does not allow a retry, it is called again only after the server has sent an
-// event. A stream whose server is silent waits for a slot.
+// event. A stream whose server is silent waits for a slot. A call that is late means that
+// this process did not run: what the server has sent meanwhile is read first.
 func (w *stallWatch) onTimeout() {
+	if w.isLate() {
+		w.resetTimer(stallRecheckInterval)
+		return
+	}
 	scheduler := w.call.cfg.Scheduler
 	recheck := stallRecheckInterval
 	// The silence of a server that runs no streams says nothing: it responds only at the
@@ -129,6 +136,13 @@
 	w.beginHedge(w.ctx, slot)
 }
 
+// isLate reports whether the timer has fired much later than it was due.
+func (w *stallWatch) isLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.call.cfg.Clock.Now().Sub(w.dueAt) > maxTimerDelay
+}
+
 // searchBeforeWaiting waits for a slot at another server, before the requests that wait
 // for one, and then begins a hedge. The wait ends without a slot when the server sends an
 // event, when the attempt ends, or when too little time is left.
@@ -226,8 +240,8 @@
 	w.call.cfg.Scheduler.Release(h.slot, h.result.outcome)
 	w.call.recordEffect(h.slot.Server, &h.result)
 	h.cancel()
-	if w.timer != nil && h.reason == dispatch.Stalled {
-		w.timer.Reset(stallRecheckInterval)
+	if h.reason == dispatch.Stalled {
+		w.arm(stallRecheckInterval)
 	}
 }
 
@@ -271,19 +285,25 @@
 		return
 	}
 	w.lastEventID, w.headerSent = lastEventID, true
-	w.timer.Reset(eventTimeout)
+	w.arm(eventTimeout)
 }
 
-// resetTimer makes the next call of onTimeout happen after d. It does nothing if
-// the connection is not watched.
-func (w *stallWatch) resetTimer(d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// arm makes the next call of onTimeout happen after d. It does nothing if the attempt must
+// not be hedged. The caller holds w.mu.
+func (w *stallWatch) arm(d time.Duration) {
 	if w.timer != nil {
+		w.dueAt = w.call.cfg.Clock.Now().Add(d)
 		w.timer.Reset(d)
 	}
 }
 
+// resetTimer is like arm, for callers that do not hold w.mu.
+func (w *stallWatch) resetTimer(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arm(d)
+}
+
 // stop ends the watch. It does not close the connection. The request goes on with the hedge
 // in progress, if there is one. Only the goroutine of the call calls stop.
 func (w *stallWatch) stop() {
--- a/request/forward/stallwatch_test.go
+++ b/request/forward/stallwatch_test.go
@@ -63,9 +63,10 @@
 	ctx, leave := context.WithTimeout(t.Context(), r.Timeout)
 	f.leave = leave
 	f.call = &call{
-		Handler: New(Config{
-			Scheduler: f.scheduler, Clock: clockwork.NewRealClock(), Log: eventlog.Discard(), Metrics: gometrics.NewRegistry(),
-		}),
+		Handler: &Handler{
+			cfg:   Config{Scheduler: f.scheduler, Clock: clockwork.NewRealClock(), Log: eventlog.Discard()},
+			stats: stats{attempts: gometrics.NewCounter()},
+		},
 		snapshot: holder.Current(), route: &r, mayHaveRunAt: map[string]bool{}, dispatchReq: f.request(r.Timeout),
 	}
 	f.call.dispatchReq.PromptParts = []dispatch.PromptPart{{ID: "whole", Position: dispatch.WholeRequest}}
@@ -380,6 +381,29 @@
 		So(left, ShouldBeEmpty)
 	})
 
+	Convey("After a pause of this process, what the server has sent is read before another one gets the request", t, func() {
+		var afterPause, hedgedAfter time.Duration
+		var left map[string]int
+		virtually(t, func(t *testing.T) {
+			f := newWatchFixture(t, stream, plenty)
+			f.releaseBusy()
+			// The timer fires when the process runs again, long after it was due.
+			f.watch.mu.Lock()
+			f.watch.timer.Stop()
+			f.watch.mu.Unlock()
+			f.silentFor(firstEventTimeout + maxTimerDelay + 50*time.Millisecond)
+			f.watch.onTimeout()
+			synctest.Wait()
+			afterPause = f.hedgedAfter
+			f.silentFor(stallRecheckInterval + 50*time.Millisecond)
+			hedgedAfter = f.hedgedAfter
+			left = f.finish()
+		})
+		So(afterPause, ShouldEqual, 0)
+		So(hedgedAfter, ShouldEqual, firstEventTimeout+maxTimerDelay+50*time.Millisecond+stallRecheckInterval)
+		So(left, ShouldBeEmpty)
+	})
+
 	Convey("The first server wins if it sends an event before the hedge has begun, and no third server gets the request", t, func() {
 		var aborted, next bool
 		var runs map[string]bool
