Weights of a server stay usable while a report of it is late

Callers saw requests refused ("no server can run it", Retry-After 2 s) although a server with the weights was sound. Cause: an agent takes one report that it cannot read within 1.5 s for a server without weights, and tells all entry instances so. A sound server may be silent for longer, for example 1.6 s: it was without weights for 0.4 s just after it went on.

Now the last report stays valid for 3 s while further ones time out.

--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/rattanway/rattanway/core"
@@ -32,6 +33,9 @@
 	// loadTimeout limits the time from the acceptance of a load order until the
 	// version is loaded. The server first completes its running requests.
 	loadTimeout = 10 * time.Second
+	// maxReportAge is how long the last report remains valid while further reports time
+	// out. A sound server may be silent for longer than a report may take.
+	maxReportAge = 3 * time.Second
 )
 
 // Config holds the settings and dependencies of a Loader.
@@ -87,8 +91,10 @@
 	ordered versionKey
 	// serverStartUnixMs is the server's start time in the last report.
 	serverStartUnixMs int64
-	// hasReport is true once the server has sent a report.
-	hasReport bool
+	// hasReport is true once the server has sent a report. reportedAt is when it sent the
+	// last one.
+	hasReport  bool
+	reportedAt time.Time
 	// firstTargetAt is the time at which this agent first had a target with a
 	// wanted version. agentsChangedAt is the time at which the number of agents
 	// last changed.
@@ -144,7 +150,9 @@
 		pause := idlePollInterval
 		if err != nil {
 			l.logFailure("read report", versionKey{}, err)
-			l.publish(ServerState{})
+			if !l.mayBeSilent(err) {
+				l.publish(ServerState{})
+			}
 		} else {
 			pause = l.reconcile(ctx, report, l.recordReport(report))
 		}
@@ -157,6 +165,15 @@
 	return nil
 }
 
+// mayBeSilent reports whether the server may still hold what it reported last although its
+// report could not be read because of err. That is so if only the time limit has passed, and
+// not for long. A server that refuses or breaks off the connection has ended.
+func (l *Loader) mayBeSilent(err error) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return errors.Is(err, context.DeadlineExceeded) && l.hasReport && l.cfg.Clock.Since(l.reportedAt) < maxReportAge
+}
+
 func (l *Loader) logFailure(step string, k versionKey, err error) {
 	l.cfg.Log.EventWithError(eventFailed, err, eventlog.Fields{"step": step, "model": k.model, "version": k.version})
 }
--- a/version/loading/loader_test.go
+++ b/version/loading/loader_test.go
@@ -46,9 +46,17 @@
 	onLoad func(version int) error
 	// busy is true while a load is in progress.
 	busy bool
+	// onReport, if not nil, is called before a report is returned. If it returns an
+	// error, there is no report.
+	onReport func(ctx context.Context) error
 }
 
-func (f *fakeServer) Report(context.Context) (Report, error) {
+func (f *fakeServer) Report(ctx context.Context) (Report, error) {
+	if f.onReport != nil {
+		if err := f.onReport(ctx); err != nil {
+			return Report{}, err
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := Report{Weights: map[string]int{}, Busy: f.busy, AcceptedOrderCount: f.acceptedOrders, StartUnixMs: f.startUnixMs}
@@ -180,12 +188,20 @@
 	clock  *pausedClock
 
 	mu sync.Mutex
-	// published is the last published state. unproven lists the versions that were
-	// published as usable while the server held wrong chunks.
+	// published is the last published state, and history lists all of them. unproven lists
+	// the versions that were published as usable while the server held wrong chunks.
 	published ServerState
+	history   []publishedState
 	unproven  []int
 }
 
+// publishedState is a state of the server and when it was published.
+type publishedState struct {
+	at      time.Time
+	version int
+	loading bool
+}
+
 // pausedClock is a clock that jumps ahead, as it does for a process that was paused.
 type pausedClock struct {
 	clockwork.Clock
@@ -203,6 +219,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.published = s
+	f.history = append(f.history, publishedState{time.Now(), version, s.Loading})
 	if wrong {
 		f.unproven = append(f.unproven, version)
 	}
--- a/version/loading/report.go
+++ b/version/loading/report.go
@@ -12,7 +12,7 @@
 func (l *Loader) recordReport(r Report) bool {
 	l.mu.Lock()
 	restarted := l.hasReport && r.StartUnixMs != l.serverStartUnixMs
-	l.hasReport, l.serverStartUnixMs = true, r.StartUnixMs
+	l.hasReport, l.reportedAt, l.serverStartUnixMs = true, l.cfg.Clock.Now(), r.StartUnixMs
 	last := l.state
 	l.proof.observe(r)
 	usable := l.proof.usable(r)
