A stream that has begun waits for a slot as long as its client waits

Callers saw streams broken off ("every server is full") 1 s after their server had ended or was given up, although clients wait 2 s or more for the next event. Cause: one fixed limit of 1 s for the wait for a slot at another server. A stream that has begun cannot be refused any more, so that breaking it off earlier than its client does gives the slot to nobody.

Now the wait ends 0.3 s (the time to go on elsewhere) before the client would give up: 2 s, four times the objective or eight times the objective for pauses after the last event. Requests whose response has not begun still wait 1 s: their clients may send them again, to the first server too.

--- a/request/forward/config.go
+++ b/request/forward/config.go
@@ -113,11 +113,18 @@
 	// stallRecheckInterval is the time between two searches for another server for a
 	// request whose present server sends nothing.
 	stallRecheckInterval = 200 * time.Millisecond
-	// retryWait is the longest wait for a slot at another server for a request that
-	// has possibly run already. It applies even if the objective of the request
-	// allows only a shorter wait. It is below 2 s because clients give up a stream
-	// after 2 s without an event.
+	// retryWait is the wait for a slot at another server for a request that has possibly
+	// run already. It applies even if the objective of the request allows only a shorter
+	// wait. A stream that has begun may wait longer; see streamRetryWait.
 	retryWait = time.Second
+	// Clients give up a stream minStreamPatience after an event, or after
+	// objectivePatience times the objective or gapPatience times the objective for pauses
+	// if that is longer. streamRestartTime is the time that a stream needs to go on at
+	// another server.
+	minStreamPatience = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+	streamRestartTime = 300 * time.Millisecond
 	// responseTimeoutFactor times the objective is the time without a response after
 	// which a repeatable request that is not a stream is sent to another server.
 	responseTimeoutFactor = 2
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -139,6 +139,8 @@
 	// firstByteAt is when the response header was written to the client; zero before
 	// that.
 	firstByteAt time.Time
+	// lastWriteAt is when an event of a stream was last written to the client.
+	lastWriteAt time.Time
 	// attemptServers lists the ID of the server of each attempt, for the log.
 	attemptServers []string
 }
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/request/dispatch"
+	"github.com/rattanway/rattanway/version/catalog"
 )
 
 // run makes attempts at servers until a complete response has been forwarded or
@@ -40,6 +42,9 @@
 		}
 		if result.mayHaveRun {
 			c.dispatchReq.MaxRetryWait = retryWait
+			if c.headerSent {
+				c.dispatchReq.MaxRetryWait = streamRetryWait(c.route, c.lastWriteAt, c.cfg.Clock.Now())
+			}
 		}
 		if err := c.decideRetry(ctx, slot, &result); err != nil {
 			c.giveUp(ctx, err)
@@ -48,6 +53,14 @@
 	}
 }
 
+// streamRetryWait returns how long a stream that has begun may wait for a slot at another
+// server from now on: as long as its client waits for the next event, the last of which was
+// written at lastEventAt.
+func streamRetryWait(route *catalog.Route, lastEventAt, now time.Time) time.Duration {
+	patience := max(minStreamPatience, objectivePatience*route.FirstByteObjective, gapPatience*route.EventGapObjective)
+	return max(retryWait, lastEventAt.Add(patience-streamRestartTime).Sub(now))
+}
+
 // acquireSlot acquires a slot for the next attempt. If the request goes on with a hedge, it
 // returns this and its slot.
 func (c *call) acquireSlot(ctx context.Context) (dispatch.Slot, *hedge, error) {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -146,6 +146,7 @@
 		c.clientGone = true
 		return err
 	}
+	c.lastWriteAt = c.cfg.Clock.Now()
 	if id != "" {
 		c.lastEventID = id
 	}
