One silence of a server counts as one failure

Callers saw requests refused or queued while a sound server was unused: after a silence of 0.9 s during which its streams went to other servers, it got no request for 2 s more, and was then the last choice. Cause: each stream that left counted as a failure of its own, so that four of them led to the longest backoff, and 14 to a penalty of 21 requests. Nothing that the server sent ended the backoff. A single stream led to a backoff of 0.25 s instead, so that the next request reached the server while it was still silent.

Now the first silence is one failure with a backoff of 1 s, which ends when the server sends something to a request that has stayed. A server that stalls again before it has served a request is treated as before: each attempt counts, and what it sends ends no backoff, because a narrow link lets something through now and then. Late responses that are no silence of 0.9 s still lead to 0.25 s.

go test -run TestSilenceOfASoundServerCountsOnce ./request/dispatch, virtual time: failed before in two of its cases.

--- a/request/dispatch/passivehealth.go
+++ b/request/dispatch/passivehealth.go
@@ -46,7 +46,10 @@
 	backoffFull        = 60 * time.Millisecond
 	backoffMisdirected = 400 * time.Millisecond
 	backoffFailed      = 250 * time.Millisecond
-	maxBackoff         = 2 * time.Second
+	// backoffSilent begins when a server has been silent for silentPeriod or longer. A
+	// sound server may be silent for 1.7 s and then goes on.
+	backoffSilent = time.Second
+	maxBackoff    = 2 * time.Second
 )
 
 // Parameters of the failure rate, an exponentially weighted moving average of the
@@ -66,10 +69,12 @@
 // gets no requests for a time that doubles with each such outcome since the last
 // served request, up to maxBackoff. A refused or misdirected request causes a
 // short backoff of constant length. A server that fails often also gets a
-// penalty, which is added to its load.
+// penalty, which is added to its load. A stall is a silence of the server, however
+// many requests it ran meanwhile.
 type PassiveHealth struct {
-	// backoffUntil is the end of the current or the last backoff.
-	backoffUntil time.Time
+	// backoffUntil is the end of the current or the last backoff, other than after a
+	// stall. stallBackoffUntil is the end of that.
+	backoffUntil, stallBackoffUntil time.Time
 	// consecutiveFailures is the number of failed connections and stalls since
 	// the last served request.
 	consecutiveFailures int
@@ -87,23 +92,56 @@
 		h.backoffUntil = later(h.backoffUntil, now.Add(backoffFull))
 	case Misdirected:
 		h.backoffUntil = later(h.backoffUntil, now.Add(backoffMisdirected))
-	case Unreachable, Stalled:
-		h.raiseFailureRate()
-		h.backoffUntil = later(h.backoffUntil, now.Add(min(maxBackoff, backoffFailed<<min(h.consecutiveFailures, 8))))
-		h.consecutiveFailures++
+	case Unreachable:
+		h.backoffUntil = later(h.backoffUntil, now.Add(h.fail(backoffFailed)))
+	case Stalled:
+		h.RecordStall(now, false)
 	case Broken:
 		h.raiseFailureRate()
 	case Cancelled, Moved, Outdated, Paused:
 	}
 }
 
+// fail records a failure and returns the length of the backoff after it, which is first
+// if the last request was served.
+func (h *PassiveHealth) fail(first time.Duration) time.Duration {
+	backoff := min(maxBackoff, first<<min(h.consecutiveFailures, 8))
+	h.raiseFailureRate()
+	h.consecutiveFailures++
+	return backoff
+}
+
+// RecordStall records a stall at time now. silent is true if the server had sent nothing to
+// any request for silentPeriod.
+func (h *PassiveHealth) RecordStall(now time.Time, silent bool) {
+	first := backoffFailed
+	if silent {
+		first = backoffSilent
+	}
+	h.stallBackoffUntil = now.Add(h.fail(first))
+}
+
+// RecordActivity records that the server has sent something. That ends the backoff after a
+// single stall. A server that stalls again before it has served a request may be behind a
+// narrow link, which lets something through now and then.
+func (h *PassiveHealth) RecordActivity() {
+	if !h.failedAgain() {
+		h.stallBackoffUntil = time.Time{}
+	}
+}
+
+// failedAgain reports whether there was more than one failure since the last served request.
+func (h *PassiveHealth) failedAgain() bool { return h.consecutiveFailures > 1 }
+
 func (h *PassiveHealth) raiseFailureRate() {
 	h.failureRate += (1 - h.failureRate) * failureSmoothingFactor
 }
 
 // InBackoff reports whether the server is in backoff at time now and must not get
 // requests.
-func (h *PassiveHealth) InBackoff(now time.Time) bool { return now.Before(h.backoffUntil) }
+func (h *PassiveHealth) InBackoff(now time.Time) bool {
+	return now.Before(h.backoffUntil) || now.Before(h.stallBackoffUntil)
+}
 
 // Penalty returns the number of requests by which the server's load is to be
 // raised because of the failure rate.
--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -77,4 +77,6 @@
 	// Remote is true if the server is in another data centre than this entry
 	// instance.
 	Remote bool
+	// assignedAt is when the slot was assigned.
+	assignedAt time.Time
 }
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -112,8 +112,10 @@
 	// lastResponseAt is when the server last sent something; zero if it has not.
 	lastResponseAt time.Time
 	// stalledAt is when the last attempt ended that stalled; zero if the server has sent
-	// something since.
-	stalledAt    time.Time
+	// something since. silenceCountedAt is when an attempt last counted as a failure
+	// because it stalled.
+	stalledAt, silenceCountedAt time.Time
+
 	requestLimit requestLimit
 	// limitRateLimiter counts the requests since the server has named a limit.
 	limitRateLimiter SharedRateLimiter
@@ -279,9 +281,10 @@
 	defer s.mu.Unlock()
 	st := s.stateOf(slot.Server.ID)
 	st.runningCount--
-	st.health.Record(o, s.clock.Now())
 	if o == Stalled {
-		st.stalledAt = s.clock.Now()
+		st.recordStall(slot, s.clock.Now())
+	} else {
+		st.health.Record(o, s.clock.Now())
 	}
 	s.assignWaiting()
 }
@@ -294,6 +297,7 @@
 	st := s.stateOf(slot.Server.ID)
 	st.lastResponseAt, st.stalledAt = s.clock.Now(), time.Time{}
 	st.stallDetector.RecordActivity(st.lastResponseAt)
+	st.health.RecordActivity()
 }
 
 // assignWaiting assigns free slots to waiting requests until no more can be
@@ -348,6 +352,7 @@
 		return Slot{}, ErrFull
 	}
 	slot := all[i].Slot
+	slot.assignedAt = s.clock.Now()
 	st := s.stateOf(slot.Server.ID)
 	if st.runningCount == 0 {
 		st.stallDetector.RecordActivity(s.clock.Now())
--- a/request/dispatch/silent.go
+++ b/request/dispatch/silent.go
@@ -44,6 +44,17 @@
 	return Slot{}, ctx.Err()
 }
 
+// recordStall records that the attempt in a slot ended at time now because the server sent
+// nothing. The first silence of a server is one failure, however many attempts it ends.
+func (st *serverState) recordStall(slot Slot, now time.Time) {
+	sameSilence := !st.stalledAt.IsZero() && !slot.assignedAt.After(st.silenceCountedAt)
+	if !sameSilence || st.health.failedAgain() {
+		st.health.RecordStall(now, now.Sub(st.stallDetector.lastActivity) >= silentPeriod)
+		st.silenceCountedAt = now
+	}
+	st.stalledAt = now
+}
+
 // unheardPeriod limits how long a server that does not get any request to respond to is
 // treated as one that may still be silent.
 const unheardPeriod = 5 * time.Second
--- a/request/dispatch/silent_test.go
+++ b/request/dispatch/silent_test.go
@@ -246,3 +246,115 @@
 		}
 	})
 }
+
+// Guards against a silence of one server that counts once for each of its requests: the
+// server gets none for longer than it was silent, and is then used last.
+func TestSilenceOfASoundServerCountsOnce(t *testing.T) {
+	// maxSoundSilence is how long a sound server may be silent.
+	const maxSoundSilence = 1700 * time.Millisecond
+	// newSilent returns a fixture with one server that has been silent for silentPeriod,
+	// and its slots in use.
+	newSilent := func(count int) (*schedulerFixture, []Slot) {
+		f := newSchedulerFixture()
+		a := f.server("a", "palermo")
+		a.Slots = 20
+		f.setServers(a)
+		var slots []Slot
+		for range count {
+			slot, err := f.scheduler.Acquire(t.Context(), f.request())
+			So(err, ShouldBeNil)
+			slots = append(slots, slot)
+		}
+		f.clock.Advance(silentPeriod)
+		return f, slots
+	}
+
+	Convey("It may get a request once it has been silent for maxSoundSilence", t, func() {
+		for _, count := range []int{1, 2, 14} {
+			f, slots := newSilent(count)
+			for _, slot := range slots {
+				f.scheduler.Release(slot, Stalled)
+				f.clock.Advance(10 * time.Millisecond)
+			}
+			waited := silentPeriod + time.Duration(count)*10*time.Millisecond
+			for waited < 2*maxSoundSilence {
+				if _, err := f.acquire(f.request()); err == nil {
+					break
+				}
+				f.clock.Advance(10 * time.Millisecond)
+				waited += 10 * time.Millisecond
+			}
+			So(waited, ShouldBeGreaterThanOrEqualTo, maxSoundSilence)
+			So(waited, ShouldBeLessThanOrEqualTo, maxSoundSilence+250*time.Millisecond)
+		}
+	})
+
+	Convey("It is used as before as soon as it goes on with a request that has not left", t, func() {
+		f, slots := newSilent(14)
+		for _, slot := range slots[1:] {
+			f.scheduler.Release(slot, Stalled)
+		}
+		_, err := f.acquire(f.request())
+		So(err, ShouldEqual, ErrFull)
+		f.scheduler.RecordActivity(slots[0])
+		for range 10 {
+			_, err = f.acquire(f.request())
+			So(err, ShouldBeNil)
+		}
+		So(f.scheduler.stateOf("a").health.Penalty(), ShouldBeLessThan, localPreference)
+	})
+
+	Convey("A server that stalls again before it has served a request stays in backoff, whatever it sends", t, func() {
+		f, slots := newSilent(3)
+		f.scheduler.Release(slots[0], Stalled)
+		f.scheduler.RecordActivity(slots[1])
+		f.clock.Advance(silentPeriod)
+		f.scheduler.Release(slots[1], Stalled)
+		for range int(maxBackoff/(100*time.Millisecond)) - 1 {
+			f.clock.Advance(100 * time.Millisecond)
+			f.scheduler.RecordActivity(slots[2])
+			_, err := f.acquire(f.request())
+			So(err, ShouldEqual, ErrFull)
+		}
+		f.clock.Advance(100 * time.Millisecond)
+		_, err := f.acquire(f.request())
+		So(err, ShouldBeNil)
+	})
+
+	Convey("One late response is no silence: the server is tried again soon", t, func() {
+		f := newSchedulerFixture()
+		f.setServers(f.server("a", "palermo"))
+		slot, err := f.scheduler.Acquire(t.Context(), f.request())
+		So(err, ShouldBeNil)
+		f.clock.Advance(200 * time.Millisecond)
+		f.scheduler.Release(slot, Stalled)
+		f.clock.Advance(backoffFailed)
+		_, err = f.acquire(f.request())
+		So(err, ShouldBeNil)
+	})
+
+	Convey("A server that stays silent gets a request every 3 s at most", t, func() {
+		const step, period = 10 * time.Millisecond, 30 * time.Second
+		f, slots := newSilent(2)
+		for _, slot := range slots {
+			f.scheduler.Release(slot, Stalled)
+		}
+		count, inUse := 0, time.Duration(0)
+		var probe Slot
+		for waited := time.Duration(0); waited < period; waited += step {
+			f.clock.Advance(step)
+			if inUse > 0 {
+				if inUse -= step; inUse <= 0 {
+					f.scheduler.Release(probe, Stalled)
+				}
+				continue
+			}
+			if slot, err := f.scheduler.Acquire(t.Context(), f.request()); err == nil {
+				probe, inUse = slot, 1200*time.Millisecond
+				count++
+			}
+		}
+		So(count, ShouldBeLessThanOrEqualTo, int(period/(3*time.Second)))
+		So(count, ShouldBeGreaterThan, 5)
+	})
+}
