dispatch: of prompt parts with as many separate ends, the one with more ends is the cause

Callers saw sound requests refused with 503 for 2 min ("servers ended under this request or a part of its prompt"): one third of them, all those with one sound prompt part.

Counted at least 100 ms apart, both parts had 4 ends. The order of the IDs decided the tie, so m/a3 came first and explained six ends; the other six were still 3 that lie apart, enough for m/bad1 too. Both stayed quarantined (part-quarantined m/a3, ends 4, at the last ends; no part-released after), because no server ended after that to decide it anew.

Now a part with more ends in all goes before another one at the same position with as many separate ends: it explains those of the other one. Later positions still go first.

--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -285,9 +285,9 @@
 		if p.separate < len(p.ends) {
 			p.separate = max(p.separate, p.countEnds(nil, now))
 		}
-		if !guilty[id] && p.position != WholeRequest && p.unrefutedCount() < minKeptEnds {
+		if !guilty[id] && p.position != WholeRequest && p.unrefutedCount(nil) < minKeptEnds {
 			p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool { return !e.refuted && explained[e.boot] })
-			p.separate = min(p.separate, p.unrefutedCount())
+			p.separate = min(p.separate, p.unrefutedCount(nil))
 		}
 	}
 	slices.Sort(quarantined)
@@ -304,16 +304,18 @@
 			continue
 		}
 		count := p.countEnds(explained, now)
-		if worst == "" || moreSuspect(id, p, count, worst, candidates[worst], worstCount) {
+		if worst == "" || moreSuspect(id, p, count, worst, candidates[worst], worstCount, explained) {
 			worst, worstCount = id, count
 		}
 	}
 	return worst
 }
 
-// moreSuspect orders suspect parts with the given numbers of ends. All entry instances
-// with the same ends have the same order.
-func moreSuspect(idA string, a *suspectPart, countA int, idB string, b *suspectPart, countB int) bool {
+// moreSuspect orders suspect parts with the given numbers of separate ends. Of equally rare
+// parts with as many separate ends, the one with more ends in all explains those of the
+// other one, if that was there by chance. All entry instances with the same ends have the
+// same order.
+func moreSuspect(idA string, a *suspectPart, countA int, idB string, b *suspectPart, countB int, explained map[string]bool) bool {
 	switch {
 	case a.knownSound != b.knownSound:
 		return b.knownSound
@@ -322,6 +324,9 @@
 	case a.position != b.position:
 		return a.position > b.position
 	}
+	if allA, allB := a.unrefutedCount(explained), b.unrefutedCount(explained); allA != allB {
+		return allA > allB
+	}
 	return idA < idB
 }
 
@@ -431,11 +436,11 @@
 	}
 }
 
-// unrefutedCount returns the number of ends that are not refuted.
-func (p *suspectPart) unrefutedCount() int {
+// unrefutedCount returns the number of ends that are neither refuted nor explained.
+func (p *suspectPart) unrefutedCount(explained map[string]bool) int {
 	count := 0
 	for _, e := range p.ends {
-		if !e.refuted {
+		if !e.refuted && !explained[e.boot] {
 			count++
 		}
 	}
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -74,6 +74,28 @@
 		So(held(q, at, "a sound one"), ShouldBeFalse)
 		So(held(q, at, "bad"), ShouldBeTrue)
 	})
+	Convey("Of parts with equally many separate ends, the one with more ends in all is quarantined", t, func() {
+		q := NewPartQuarantine(&changeCounter{})
+		var now time.Time
+		for i, end := range []struct {
+			afterMs int
+			others  []string
+		}{
+			{0, []string{"a3"}}, {31, []string{"a3"}}, {205, []string{"a1", "a3"}}, {236, []string{"a1", "a2"}},
+			{334, nil}, {358, nil}, {365, nil}, {398, []string{"a2", "a3"}}, {429, []string{"a2"}},
+			{552, []string{"a1"}}, {575, []string{"a3"}}, {607, []string{"a1", "a2", "a3"}},
+		} {
+			now = start.Add(time.Duration(end.afterMs) * time.Millisecond)
+			var suspects []PromptPart
+			for _, id := range append(end.others, "bad") {
+				suspects = append(suspects, PromptPart{id, 1})
+			}
+			q.RecordEnd(fmt.Sprint("s", i), suspects, now, now)
+		}
+		So(q.parts["a3"].countEnds(nil, now), ShouldEqual, q.parts["bad"].countEnds(nil, now))
+		So(held(q, now, "bad"), ShouldBeTrue)
+		So(held(q, now, "a3"), ShouldBeFalse)
+	})
 	Convey("Servers that a fault of the platform ends together quarantine nothing", t, func() {
 		q := NewPartQuarantine(&changeCounter{})
 		for i := range 20 {
--- a/request/dispatch/suspects.go
+++ b/request/dispatch/suspects.go
@@ -148,7 +148,7 @@
 		// A peer that does not know that a whole request is sound counts its ends without
 		// regard to their times.
 		mayAdopt := p != nil && (p.position != WholeRequest || !p.knownSound || part.KnownSound)
-		if mayAdopt && part.Separate > p.separate && part.Separate <= p.unrefutedCount() {
+		if mayAdopt && part.Separate > p.separate && part.Separate <= p.unrefutedCount(nil) {
 			p.separate = part.Separate
 			q.reassessDue = true
 		}
