Declared limits of client connections apply, also to open connections

Callers that reuse a connection for up to four fifths of the declared idleTimeoutMs met one that closed after 30 s: with a limit over 37.5 s, or one raised to that, a whole request got neither a response nor a refusal. A head that took longer than 5 s within a longer headerTimeoutMs got 400. Cause: both limits were decoded, kept in the catalogue and applied nowhere.

Now clientConn ends reads of a client's connection by the limits in force. It wraps the connection instead of changing http.Server.IdleTimeout, which the server reads without a lock. clientLimits decides: a connection may be idle for the largest limit by which its client may go since it became idle, where a replaced limit counts for configApplyMs and a second more, and the longest limit until a configuration is known. The first byte of a request ends the idle time, so no close for idleness cuts a request that was read, and an idle connection is read once more before it is closed. Above 4,096 open connections, responses close theirs.

The break-off of a response of HTTP/1.0 reset the connection only if it was a *net.TCPConn; it now takes any connection with SetLinger.

--- /dev/null
+++ b/daemon/hosted/clientconn.go
@@ -0,0 +1,218 @@
+package hosted
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	// maxKeptConns is the number of open connections above which a connection is closed
+	// after its response, and a new one must send a request within the time for its head.
+	maxKeptConns = 4096
+	// lastReadTimeout is the time of the read before an idle connection is closed. Only bytes
+	// that have arrived already count.
+	lastReadTimeout = 5 * time.Millisecond
+)
+
+// clientConns applies the limits of client connections to those of an HTTP server. The
+// server's own timeouts cannot be changed while it serves. It is safe for concurrent use.
+type clientConns struct {
+	connCounts
+	limits     *clientLimits
+	idleClosed gometrics.Counter
+}
+
+// newClientConns returns a clientConns whose metrics are registered in r.
+func newClientConns(settle time.Duration, r gometrics.Registry) *clientConns {
+	return &clientConns{
+		limits:     newClientLimits(settle),
+		idleClosed: gometrics.GetOrRegisterCounter("connections.idle-closed", r),
+	}
+}
+
+// clientListener is a listener whose connections are kept by conns.
+type clientListener struct {
+	net.Listener
+	conns *clientConns
+}
+
+// Accept implements [net.Listener].
+func (l *clientListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn, conns: l.conns}, nil
+}
+
+// record implements the ConnState hook of [http.Server] for the connections of a
+// clientListener.
+func (c *clientConns) record(conn net.Conn, state http.ConnState) {
+	c.connCounts.record(conn, state)
+	if conn, ok := conn.(*clientConn); ok {
+		conn.setState(state)
+	}
+}
+
+// isFull reports whether more connections are open than are kept.
+func (c *clientConns) isFull() bool { return c.total() > maxKeptConns }
+
+// closeIfFull returns a handler that calls next and closes connections after their response
+// while more are open than are kept.
+func (c *clientConns) closeIfFull(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.isFull() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// connPhase is what a client connection waits for.
+type connPhase int
+
+const (
+	// connIdle means that no byte of a further request has been read.
+	connIdle connPhase = iota
+	// connInHead means that a part of a request's head has been read.
+	connInHead
+	// connInRequest means that a request is in progress, or that the connection is closed.
+	connInRequest
+)
+
+// clientConn is a connection of a client. Its reads end at the deadline of the HTTP server
+// or at the one by the limits in force, whichever is earlier. A connection of which a byte
+// of a request has been read no longer counts as idle, so that no close for idleness cuts a
+// request that was read.
+type clientConn struct {
+	net.Conn
+	conns *clientConns
+
+	mu    sync.Mutex
+	phase connPhase
+	// since is when phase began.
+	since time.Time
+	// serverDeadline is the deadline of the HTTP server; zero if there is none.
+	serverDeadline time.Time
+	// lastRead is true during the read before the connection is closed.
+	lastRead bool
+}
+
+// CloseWrite closes the writing side. The HTTP server calls it to let a client read the
+// last response before the connection is closed.
+func (c *clientConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets how long a close waits for data that is not sent yet, as
+// [net.TCPConn.SetLinger] does. The handler calls it to reset a connection.
+func (c *clientConn) SetLinger(sec int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return conn.SetLinger(sec)
+	}
+	return nil
+}
+
+// Read implements [net.Conn].
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayReadOn() {
+		n, err = c.Conn.Read(p)
+	}
+	if n > 0 {
+		c.received()
+	}
+	return n, err
+}
+
+// mayReadOn reports whether a connection is to be read on after a read has reached its
+// deadline, because the limit has been raised or because a request may have arrived while
+// the process was paused.
+func (c *clientConn) mayReadOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != connIdle {
+		return false
+	}
+	now := time.Now()
+	if now.Before(c.deadline()) {
+		c.lastRead = false
+		return c.applyDeadline() == nil
+	}
+	if c.lastRead {
+		c.conns.idleClosed.Inc(1)
+		return false
+	}
+	c.lastRead = true
+	return c.Conn.SetReadDeadline(now.Add(lastReadTimeout)) == nil
+}
+
+// received ends the idle phase.
+func (c *clientConn) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == connIdle {
+		c.begin(connInHead)
+	}
+}
+
+// setState follows the state that the HTTP server reports.
+func (c *clientConn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case state == http.StateIdle, state == http.StateNew && !c.conns.isFull():
+		c.begin(connIdle)
+	case state == http.StateNew:
+		c.begin(connInHead)
+	default:
+		c.begin(connInRequest)
+	}
+}
+
+// begin sets the phase. The caller holds c.mu.
+func (c *clientConn) begin(phase connPhase) {
+	c.phase, c.since, c.lastRead = phase, time.Now(), false
+	_ = c.applyDeadline() // if this fails, the connection is closed
+}
+
+// deadline returns when a read must end; zero if it may take any time. The caller holds
+// c.mu.
+func (c *clientConn) deadline() time.Time {
+	var own time.Time
+	switch c.phase {
+	case connIdle:
+		own = c.conns.limits.idleUntil(c.since)
+	case connInHead:
+		own = c.conns.limits.headUntil(c.since)
+	}
+	if own.IsZero() || !c.serverDeadline.IsZero() && c.serverDeadline.Before(own) {
+		return c.serverDeadline
+	}
+	return own
+}
+
+// applyDeadline sets the deadline of the connection. The caller holds c.mu.
+func (c *clientConn) applyDeadline() error { return c.Conn.SetReadDeadline(c.deadline()) }
+
+// SetReadDeadline implements [net.Conn].
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serverDeadline = t
+	return c.applyDeadline()
+}
+
+// SetDeadline implements [net.Conn].
+func (c *clientConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
--- a/daemon/hosted/common.go
+++ b/daemon/hosted/common.go
@@ -44,6 +44,8 @@
 		"This entry instance has written its address to the store and read the addresses of the others. If the line has an error, this failed and is tried again.")
 	eventServerError = eventlog.Define(626, "hosted-server-error", logrus.WarnLevel,
 		"The HTTP server for clients reported an error on a connection.")
+	eventClientLimits = eventlog.Define(627, "hosted-client-limits", logrus.InfoLevel,
+		"Other limits of client connections are in force. Fields give the declared ones (0 for none) and the number of open connections (conns), to which they apply too.")
 )
 
 // Options holds the settings from the command line.
--- a/daemon/hosted/connections.go
+++ b/daemon/hosted/connections.go
@@ -45,3 +45,10 @@
 	}
 	return unused, active, idle
 }
+
+// total returns the number of connections.
+func (c *connCounts) total() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.states)
+}
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -39,6 +39,11 @@
 	// SIGTERM. The load balancer checks readiness once a second and sends no more
 	// connections after two failed checks.
 	acceptPeriodAfterSignal = 2500 * time.Millisecond
+	// defaultConfigDueAfter is the time within which a configuration is in force everywhere
+	// if the settings contain none. Clients may go by an older one for configSettleMargin
+	// longer.
+	defaultConfigDueAfter = 2 * time.Second
+	configSettleMargin    = time.Second
 	// entryGCPercent is the GOGC value of the entry instance. This low value
 	// keeps the heap small. Under load, an entry instance uses 4.7 % of a core
 	// at this value and 4.3 % at 100.
@@ -68,7 +73,7 @@
 	lastReady      atomic.Bool
 	clientListener net.Listener
 	clientServer   *http.Server
-	clientConns    connCounts
+	clientConns    *clientConns
 }
 
 // RunEntry runs an entry instance until SIGTERM or SIGINT.
@@ -96,6 +101,7 @@
 		store: platform.NewStore(s.Store.Addr), catalogHolder: catalog.NewHolder(log),
 		connPool: backend.NewPool(clock), metricsRegistry: gometrics.NewRegistry(),
 	}
+	e.clientConns = newClientConns(configDueAfter(&s)+configSettleMargin, e.metricsRegistry)
 	e.declaredFollower = catalog.NewFollower(catalog.TableDeclared, e.store, e.catalogHolder, log, clock)
 	e.serversFollower = catalog.NewFollower(catalog.TableServers, e.store, e.catalogHolder, log, clock)
 	e.scheduler = dispatch.NewScheduler(dispatch.Config{
@@ -143,6 +149,15 @@
 	return time.Duration(s.Bounds.WeightsDueAfterMs * float64(time.Millisecond))
 }
 
+// configDueAfter returns the time after the declaration of a configuration within which it
+// is in force everywhere.
+func configDueAfter(s *platform.Settings) time.Duration {
+	if s.Bounds.ConfigDueAfterMs <= 0 {
+		return defaultConfigDueAfter
+	}
+	return time.Duration(s.Bounds.ConfigDueAfterMs * float64(time.Millisecond))
+}
+
 // run serves requests until SIGTERM or SIGINT.
 func (e *entry) run(signals processSignals) error {
 	var g run.Group
@@ -150,10 +165,10 @@
 	if err != nil {
 		return core.WrapStep("listen for clients", e.settings.Listen.Clients, err)
 	}
-	e.clientListener, e.clientServer = clientListener, e.newClientServer()
+	e.setClientListener(clientListener)
 	stopped := make(chan struct{})
 	g.Add(func() error {
-		err := ignoreServerClosed(e.clientServer.Serve(clientListener))
+		err := ignoreServerClosed(e.clientServer.Serve(e.clientListener))
 		if e.stopping.Load() {
 			// The stop has closed the listener. The actor must not return while requests
 			// still run, because the group stops as soon as one actor returns.
@@ -200,20 +215,18 @@
 	return core.WrapStep("serve clients", "", err)
 }
 
-// Limits of client connections. They apply unless the operators declare limits,
-// which are then smaller.
-const (
-	clientHeaderTimeout  = 5 * time.Second
-	clientIdleTimeout    = 30 * time.Second
-	maxClientHeaderBytes = 64 << 10
-)
+// setClientListener makes listener the one on which e accepts connections of clients.
+func (e *entry) setClientListener(listener net.Listener) {
+	e.clientListener, e.clientServer = &clientListener{Listener: listener, conns: e.clientConns}, e.newClientServer()
+}
 
-// newClientServer returns the HTTP server for requests of clients.
+// newClientServer returns the HTTP server for requests of clients. Its timeouts are the
+// longest that the operators may declare; clientConns applies those in force.
 func (e *entry) newClientServer() *http.Server {
 	return &http.Server{
-		Handler:           e.handler,
-		ReadHeaderTimeout: clientHeaderTimeout,
-		IdleTimeout:       clientIdleTimeout,
+		Handler:           e.clientConns.closeIfFull(e.handler),
+		ReadHeaderTimeout: maxHeaderTimeout + limitMargin,
+		IdleTimeout:       maxIdleTimeout + limitMargin,
 		MaxHeaderBytes:    maxClientHeaderBytes,
 		ErrorLog:          newErrorLog(e.log),
 		ConnState:         e.clientConns.record,
@@ -248,12 +261,13 @@
 	}
 }
 
-// followCatalog removes from the scheduler, after each change of the catalogue, the
-// servers that are no longer listed, and tells the archive of prompt parts the era of the
-// store. It returns when ctx ends.
+// followCatalog applies, after each change of the catalogue, the declared limits of client
+// connections, removes from the scheduler the servers that are no longer listed, and tells
+// the archive of prompt parts the era of the store. It returns when ctx ends.
 func (e *entry) followCatalog(ctx context.Context) error {
 	for {
 		changed := e.catalogHolder.Changed()
+		e.applyClientLimits()
 		e.scheduler.RemoveUnlistedServers()
 		e.partArchive.SetStoreEra(e.storeEra())
 		select {
@@ -264,6 +278,18 @@
 	}
 }
 
+// applyClientLimits applies the limits of the newest configuration to client connections.
+func (e *entry) applyClientLimits() {
+	config := e.catalogHolder.Current().Config
+	if config == nil || !e.clientConns.limits.set(config.Limits, e.clock.Now()) {
+		return
+	}
+	e.log.Event(eventClientLimits, eventlog.Fields{
+		"config": config.Version, "idleMs": config.Limits.IdleTimeout.Milliseconds(),
+		"headerMs": config.Limits.HeaderTimeout.Milliseconds(), "conns": e.clientConns.total(),
+	})
+}
+
 // applySettings applies the addresses of the store and of other entry instances
 // from a changed settings file. Other changed settings take effect at the next
 // start.
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -194,7 +193,7 @@
 func (c *call) breakOff() {
 	if c.headerSent && !c.httpReq.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(c.w).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 				// If this fails, the connection has ended already.
 				_ = tcp.SetLinger(0)
 			}
--- a/version/catalog/types.go
+++ b/version/catalog/types.go
@@ -150,9 +150,11 @@
 	// MaxHeaderBytes is the maximum size of a request's header, and MaxBodyBytes the
 	// maximum size of its body.
 	MaxHeaderBytes, MaxBodyBytes int64
-	// HeaderTimeout is the maximum time for reading a request's header.
+	// HeaderTimeout is the maximum time for reading a request's header; 0 if none is
+	// declared.
 	HeaderTimeout time.Duration
-	// IdleTimeout is the maximum time for which a connection may stay unused.
+	// IdleTimeout is the maximum time for which a connection may stay unused; 0 if none is
+	// declared. Clients reuse connections for up to four fifths of it.
 	IdleTimeout time.Duration
 }
 
