Heads of requests up to the declared size are accepted

Callers whose requests had a head above 64 KiB, within a larger declared maxHeaderBytes, got 431, and a smaller declared size was not applied. Cause: the size was decoded and applied nowhere, like the two timeouts.

clientConn now counts the bytes of a head against the largest size by which its client may go (clientLimits, as for the timeouts), responds 431 above it and reads on for up to half a second, so that the client gets the response before the connection is reset. http.Server.MaxHeaderBytes, which cannot change while it serves, stands at the bound of 256 KiB; without a declared size 64 KiB are read as before.

go test -run DeclaredSize ./daemon/hosted, before the change: 4 of 10 cases of TestHeadWithinTheDeclaredSize failed (three with 431 for a head within the declared size, one with 503 for a head above it). They pass now.

--- a/daemon/hosted/clientconn.go
+++ b/daemon/hosted/clientconn.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,8 +19,21 @@
 	// lastReadTimeout is the time of the read before an idle connection is closed. Only bytes
 	// that have arrived already count.
 	lastReadTimeout = 5 * time.Millisecond
+	// readAhead is the size of the HTTP server's read buffer: so much more than a head may
+	// be read with it.
+	readAhead = 4 << 10
+	// headRefusalTimeout and maxDiscarded limit how long, and how much, is read after a
+	// refusal, so that the client reads it before the connection is reset.
+	headRefusalTimeout = 500 * time.Millisecond
+	maxDiscarded       = 4 << 20
 )
 
+// headRefusal is the response to a request whose head is too large.
+const headRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\nhead of the request too large\n"
+
+// errHeadTooLarge is the error of a read after a head that was too large.
+var errHeadTooLarge = errors.New("head of the request too large")
+
 // clientConns applies the limits of client connections to those of an HTTP server. The
 // server's own timeouts cannot be changed while it serves. It is safe for concurrent use.
 type clientConns struct {
@@ -100,6 +114,8 @@
 	since time.Time
 	// serverDeadline is the deadline of the HTTP server; zero if there is none.
 	serverDeadline time.Time
+	// headBytes is how much has been read since the first byte of the head.
+	headBytes int64
 	// lastRead is true during the read before the connection is closed.
 	lastRead bool
 }
@@ -128,8 +144,9 @@
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayReadOn() {
 		n, err = c.Conn.Read(p)
 	}
-	if n > 0 {
-		c.received()
+	if n > 0 && !c.received(n) {
+		c.refuseHead()
+		return 0, errHeadTooLarge
 	}
 	return n, err
 }
@@ -156,13 +173,31 @@
 	return c.Conn.SetReadDeadline(now.Add(lastReadTimeout)) == nil
 }
 
-// received ends the idle phase.
-func (c *clientConn) received() {
+// received ends the idle phase and counts the n bytes that have been read. It reports
+// whether the head of the request may be so large.
+func (c *clientConn) received(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == connIdle {
 		c.begin(connInHead)
 	}
+	if c.phase != connInHead {
+		return true
+	}
+	c.headBytes += int64(n)
+	return c.headBytes <= c.conns.limits.maxHeadBytes(c.since)+readAhead
+}
+
+// refuseHead responds to a request whose head is too large, and closes the connection.
+func (c *clientConn) refuseHead() {
+	defer func() { _ = c.Conn.Close() }()
+	if c.Conn.SetDeadline(time.Now().Add(headRefusalTimeout)) != nil {
+		return
+	}
+	if _, err := io.WriteString(c.Conn, headRefusal); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, maxDiscarded) // until the client closes or the time is over
 }
 
 // setState follows the state that the HTTP server reports.
@@ -181,7 +216,7 @@
 
 // begin sets the phase. The caller holds c.mu.
 func (c *clientConn) begin(phase connPhase) {
-	c.phase, c.since, c.lastRead = phase, time.Now(), false
+	c.phase, c.since, c.headBytes, c.lastRead = phase, time.Now(), 0, false
 	_ = c.applyDeadline() // if this fails, the connection is closed
 }
 
--- a/daemon/hosted/clientconn_test.go
+++ b/daemon/hosted/clientconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -278,3 +279,14 @@
 		So(conn.Close(), ShouldBeNil)
 	})
 }
+
+func TestTooLargeHeadIsRefused(t *testing.T) {
+	Convey("A client whose head is too large reads the refusal, although it sends much more", t, func() {
+		addr, conns := serveTCP(t, time.Minute, http.NotFound)
+		conns.limits.set(catalog.Limits{MaxHeaderBytes: 8 << 10}, time.Now().Add(-time.Hour))
+		conn, err := net.Dial("tcp", addr)
+		So(err, ShouldBeNil)
+		So(send(conn, "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", 2<<20)), ShouldEqual, http.StatusRequestHeaderFieldsTooLarge)
+		So(conn.Close(), ShouldBeNil)
+	})
+}
--- a/daemon/hosted/clientlimits.go
+++ b/daemon/hosted/clientlimits.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	clientIdleTimeout    = 30 * time.Second
 	maxIdleTimeout       = time.Hour
 	maxClientHeaderBytes = 64 << 10
+	leastMaxHeaderBytes  = 4 << 10
+	mostMaxHeaderBytes   = 256 << 10
 )
 
 // limitMargin is added to declared time limits. A client counts from when it received the
@@ -24,16 +27,16 @@
 // limitHistory holds a limit and, for a time after each change, the limits before it: some
 // clients still go by these. Until the first call of set, it holds the largest limit
 // possible. It is not safe for concurrent use.
-type limitHistory struct {
-	current time.Duration
+type limitHistory[T cmp.Ordered] struct {
+	current T
 	// earlier holds larger limits than current, the largest first. Each is valid for a
 	// longer time than the one before it.
-	earlier []earlierLimit
+	earlier []earlierLimit[T]
 }
 
 // earlierLimit is a limit that was replaced; clients may go by it until validUntil.
-type earlierLimit struct {
-	limit      time.Duration
+type earlierLimit[T cmp.Ordered] struct {
+	limit      T
 	validUntil time.Time
 }
 
@@ -41,12 +44,12 @@
 const maxEarlierLimits = 16
 
 // set replaces the limit at now. Clients may go by the limit before until now+settle.
-func (h *limitHistory) set(limit time.Duration, now time.Time, settle time.Duration) {
+func (h *limitHistory[T]) set(limit T, now time.Time, settle time.Duration) {
 	if limit == h.current {
 		return
 	}
 	h.drop(h.current)
-	h.earlier = append(h.earlier, earlierLimit{h.current, now.Add(settle)})
+	h.earlier = append(h.earlier, earlierLimit[T]{h.current, now.Add(settle)})
 	h.drop(limit)
 	h.current = limit
 	if len(h.earlier) > maxEarlierLimits {
@@ -56,14 +59,14 @@
 }
 
 // drop removes the earlier limits that are not larger than limit.
-func (h *limitHistory) drop(limit time.Duration) {
+func (h *limitHistory[T]) drop(limit T) {
 	for n := len(h.earlier); n > 0 && h.earlier[n-1].limit <= limit; n-- {
 		h.earlier = h.earlier[:n-1]
 	}
 }
 
 // largest returns the largest limit by which a client may go since the given time.
-func (h *limitHistory) largest(since time.Time) time.Duration {
+func (h *limitHistory[T]) largest(since time.Time) T {
 	for _, e := range h.earlier {
 		if !since.After(e.validUntil) {
 			return e.limit
@@ -72,22 +75,25 @@
 	return h.current
 }
 
-// clientLimits decides how long clients may take. It is safe for concurrent use.
+// clientLimits decides how long clients may take, and how large the head of a request may
+// be. It is safe for concurrent use.
 type clientLimits struct {
 	// settle is the time after a change of the limits for which clients may go by those
 	// before it.
 	settle time.Duration
 
 	mu           sync.Mutex
-	idle, header limitHistory
+	idle, header limitHistory[time.Duration]
+	headBytes    limitHistory[int64]
 }
 
 // newClientLimits returns the limits of a process that does not know the declared ones yet.
 func newClientLimits(settle time.Duration) *clientLimits {
 	return &clientLimits{
-		settle: settle,
-		idle:   limitHistory{current: maxIdleTimeout + limitMargin},
-		header: limitHistory{current: maxHeaderTimeout + limitMargin},
+		settle:    settle,
+		idle:      limitHistory[time.Duration]{current: maxIdleTimeout + limitMargin},
+		header:    limitHistory[time.Duration]{current: maxHeaderTimeout + limitMargin},
+		headBytes: limitHistory[int64]{current: mostMaxHeaderBytes},
 	}
 }
 
@@ -95,13 +101,18 @@
 func (l *clientLimits) set(declared catalog.Limits, now time.Time) bool {
 	idle := appliedTimeout(declared.IdleTimeout, clientIdleTimeout, maxIdleTimeout)
 	header := appliedTimeout(declared.HeaderTimeout, clientHeaderTimeout, maxHeaderTimeout)
+	headBytes := int64(maxClientHeaderBytes)
+	if declared.MaxHeaderBytes > 0 {
+		headBytes = max(leastMaxHeaderBytes, min(declared.MaxHeaderBytes, mostMaxHeaderBytes))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if idle == l.idle.current && header == l.header.current {
+	if idle == l.idle.current && header == l.header.current && headBytes == l.headBytes.current {
 		return false
 	}
 	l.idle.set(idle, now, l.settle)
 	l.header.set(header, now, l.settle)
+	l.headBytes.set(headBytes, now, l.settle)
 	return true
 }
 
@@ -128,3 +139,11 @@
 	defer l.mu.Unlock()
 	return since.Add(l.header.largest(since))
 }
+
+// maxHeadBytes returns how large the head of a request may be whose first byte arrived at
+// the given time.
+func (l *clientLimits) maxHeadBytes(since time.Time) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.headBytes.largest(since)
+}
--- a/daemon/hosted/clientlimits_serve_test.go
+++ b/daemon/hosted/clientlimits_serve_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,3 +160,39 @@
 		})
 	}
 }
+
+// Guards against 431 for heads within the declared size.
+func TestHeadWithinTheDeclaredSize(t *testing.T) {
+	const ok, tooLarge = http.StatusServiceUnavailable, http.StatusRequestHeaderFieldsTooLarge
+	for name, c := range map[string]struct{ before, after, size, want int }{
+		"a size above the default":                             {128 << 10, 128 << 10, 128 << 10, ok},
+		"more than a size above the default":                   {128 << 10, 128 << 10, 200 << 10, tooLarge},
+		"much more than a size above the default":              {128 << 10, 128 << 10, 2 << 20, tooLarge},
+		"more than a size below the default":                   {16 << 10, 16 << 10, 24 << 10, tooLarge},
+		"the default":                                          {0, 0, maxClientHeaderBytes, ok},
+		"more than the default":                                {0, 0, 80 << 10, tooLarge},
+		"a raised size":                                        {0, 128 << 10, 128 << 10, ok},
+		"a lowered size, by which the client does not go yet":  {128 << 10, 16 << 10, 128 << 10, ok},
+		"more than the bound of declared sizes":                {1 << 40, 1 << 40, 300 << 10, tooLarge},
+		"a size that no request can keep to counts as a floor": {1, 1, 2 << 10, ok},
+	} {
+		Convey("A head within the declared size gets a response, and a larger one 431: "+name, t, func() {
+			var first, second int
+			withClientStand(t, func(s *clientStand) {
+				s.declare(catalog.Limits{MaxHeaderBytes: int64(c.before)})
+				<-time.After(time.Minute)
+				s.declare(catalog.Limits{MaxHeaderBytes: int64(c.after)})
+				head := strings.TrimSuffix(wholeRequest, "\r\n") + "X: "
+				head += strings.Repeat("x", c.size-len(head)-len("\r\n\r\n")) + "\r\n\r\n"
+				conn := s.listener.dial()
+				first = send(conn, head)
+				_ = conn.Close()
+				conn = s.listener.dial()
+				send(conn, wholeRequest)
+				second = send(conn, head)
+				_ = conn.Close()
+			})
+			So([]int{first, second}, ShouldResemble, []int{c.want, c.want})
+		})
+	}
+}
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -220,14 +220,14 @@
 	e.clientListener, e.clientServer = &clientListener{Listener: listener, conns: e.clientConns}, e.newClientServer()
 }
 
-// newClientServer returns the HTTP server for requests of clients. Its timeouts are the
-// longest that the operators may declare; clientConns applies those in force.
+// newClientServer returns the HTTP server for requests of clients. Its limits are the
+// largest that the operators may declare; clientConns applies those in force.
 func (e *entry) newClientServer() *http.Server {
 	return &http.Server{
 		Handler:           e.clientConns.closeIfFull(e.handler),
 		ReadHeaderTimeout: maxHeaderTimeout + limitMargin,
 		IdleTimeout:       maxIdleTimeout + limitMargin,
-		MaxHeaderBytes:    maxClientHeaderBytes,
+		MaxHeaderBytes:    mostMaxHeaderBytes,
 		ErrorLog:          newErrorLog(e.log),
 		ConnState:         e.clientConns.record,
 	}
@@ -286,7 +286,7 @@
 	}
 	e.log.Event(eventClientLimits, eventlog.Fields{
 		"config": config.Version, "idleMs": config.Limits.IdleTimeout.Milliseconds(),
-		"headerMs": config.Limits.HeaderTimeout.Milliseconds(), "conns": e.clientConns.total(),
+		"headerMs": config.Limits.HeaderTimeout.Milliseconds(), "headerBytes": config.Limits.MaxHeaderBytes, "conns": e.clientConns.total(),
 	})
 }
 
