--- a/request/forward/hedge_test.go
+++ b/request/forward/hedge_test.go
@@ -101,7 +101,11 @@
 		r := f.sendHedged(t, "/safe/", silent, second)
 		So(r.status, ShouldEqual, http.StatusOK)
 		So(r.body == body, ShouldBeTrue)
-		So(wait.Until(func() bool { f.handler.bodyParts.mu.Lock(); defer f.handler.bodyParts.mu.Unlock(); return f.handler.bodyParts.inUse == 0 }), ShouldBeTrue)
+		So(wait.Until(func() bool {
+			f.handler.bodyParts.mu.Lock()
+			defer f.handler.bodyParts.mu.Unlock()
+			return f.handler.bodyParts.inUse == 0
+		}), ShouldBeTrue)
 	})
 }
 
