The connection of a hedge is not closed after it has gone back to the pool

Callers could see a request cut off at a sound server: continueHedge closed the connection after finish had put it into the pool, so another request that took it at once lost it, and otherwise the pool held a closed connection. finish alone closes it or gives it back now.

go test -race -run TestConnectionOfAHedge ./request/forward failed before, and passes.

--- a/request/forward/hedge.go
+++ b/request/forward/hedge.go
@@ -223,7 +223,10 @@
 	watch := c.newStallWatch(ctx, h.cancel, h.slot)
 	defer watch.stop()
 	<-h.done
-	defer h.close()
+	defer h.cancel()
+	if h.body != nil {
+		defer c.bodyParts.give(h.body.parts)
+	}
 	if h.exchange == nil {
 		watch.stop()
 		return c.markEnded(ctx, watch.markClosed(h.result))
