The response of a hedge is read once

Callers saw 502 instead of a response of more than 2 MB: a hedge read it completely, and after it had taken over it was read again against the same budget of 4 MB, with a copy in memory that no budget counted. The call takes over what the hedge has read.

go test -race -run TestLongResponseOfAHedge ./request/forward failed before, and passes.

--- a/request/forward/body.go
+++ b/request/forward/body.go
@@ -108,6 +108,10 @@
 // readResponse reads a complete response. The parts of the body belong to the call until
 // releaseBodies.
 func (c *call) readResponse(resp *http.Response) (*response, error) {
+	if complete := c.readAhead; complete != nil {
+		c.readAhead = nil
+		return complete, nil
+	}
 	complete, err := c.bodyParts.read(resp)
 	if err != nil {
 		return nil, err
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -134,6 +134,9 @@
 	// nil if there was none. It is forwarded if no server gives a response without a
 	// 5xx status.
 	serverError *response
+	// readAhead is the response of the hedge with which the request goes on, if it has been
+	// read completely; nil once it has been used.
+	readAhead *response
 	// heldParts are the parts of response bodies that the call has read.
 	heldParts [][]byte
 	// firstByteAt is when the response header was written to the client; zero before
--- a/request/forward/hedge.go
+++ b/request/forward/hedge.go
@@ -157,11 +157,6 @@
 		return err
 	}
 	h.body = body
-	var again bytes.Buffer
-	if err := body.writeBody(&again); err != nil {
-		return err
-	}
-	x.resp.Body = io.NopCloser(&again)
 	return nil
 }
 
@@ -224,9 +219,7 @@
 	defer watch.stop()
 	<-h.done
 	defer h.cancel()
-	if h.body != nil {
-		defer c.bodyParts.give(h.body.parts)
-	}
+	c.adoptBody(h)
 	if h.exchange == nil {
 		watch.stop()
 		return c.markEnded(ctx, watch.markClosed(h.result))
@@ -235,6 +228,17 @@
 	return c.finish(ctx, h.exchange, watch, c.handleResponse(ctx, h.exchange.resp, h.slot, watch))
 }
 
+// adoptBody makes what a hedge has read of a response that is no stream the next result of
+// readResponse.
+func (c *call) adoptBody(h *hedge) {
+	if h.body == nil {
+		return
+	}
+	c.readAhead = h.body
+	c.heldParts = append(c.heldParts, h.body.parts...)
+	h.body = nil
+}
+
 // newHedge returns a hedge of the attempt that w watches. The caller holds w.mu.
 func (w *stallWatch) newHedge(slot dispatch.Slot, reason dispatch.Outcome) *hedge {
 	h := &hedge{
