The 5xx response of a hedge is kept for the client

Callers saw a 502 or 504 of this instance where a server had run the request and answered with an error: a hedge dropped its 5xx response. It is read now and forwarded if no server gives a better one. Its connection goes back to the pool, and it no longer starts a check whether the server has ended.

go test -race -run TestErrorResponseOfAHedge ./request/forward failed before, and passes.

--- a/request/forward/hedge.go
+++ b/request/forward/hedge.go
@@ -44,7 +44,8 @@
 	// with result.
 	exchange *serverExchange
 	result   attemptResult
-	// body is what the hedge has read of a response that is no stream.
+	// body is the complete response if the hedge has read one that is no stream. Without an
+	// exchange it is a 5xx response.
 	body *response
 }
 
@@ -69,15 +70,16 @@
 		return attemptResult{outcome: dispatch.Cancelled, err: errNoTime}
 	}
 	r := c.send(h.ctx, x, c.requestHead(h.slot, left, h.lastEventID))
+	begun := false
 	if r.err == nil {
-		r = h.awaitBegin(x)
+		r, begun = h.awaitBegin(x)
 	}
 	r.sentAt = x.sentAt
 	switch {
-	case r.err == nil:
+	case begun:
 		h.exchange = x
 		return r
-	case errors.Is(r.err, errNotRun) && x.stopAbort():
+	case r.err == nil && x.stopAbort():
 		x.pending.End()
 		c.cfg.Pool.Put(conn, x.resp)
 		return r
@@ -93,24 +95,24 @@
 	return c.markEnded(h.ctx, r)
 }
 
-// errNotRun means that a server has refused the request.
-var errNotRun = errors.New("server refused the request")
-
 // awaitBegin reads the response until it is certain that the request goes on at this
-// server: the first event with data of a stream, and otherwise the complete response. What it
-// has read can be read again from the response. A 5xx response is of no use as long as the
-// first server may give a better one.
-func (h *hedge) awaitBegin(x *serverExchange) attemptResult {
+// server: the first event with data of a stream, and otherwise the complete response. It
+// reports whether that is so. A 5xx response is read completely, but is of no use as long as
+// the first server may give a better one.
+func (h *hedge) awaitBegin(x *serverExchange) (r attemptResult, begun bool) {
 	c := h.call
 	paused := c.recordNotices(h.slot, x.resp)
-	r := attemptResult{outcome: dispatch.Broken, status: x.resp.StatusCode, mayHaveArrived: true, mayHaveRun: true}
+	r = attemptResult{outcome: dispatch.Broken, status: x.resp.StatusCode, mayHaveArrived: true, mayHaveRun: true}
 	switch {
 	case x.reused && c.lacksID(x.resp):
 		r.err = errNoRequestID
 	case c.isNotRun(x.resp):
-		return h.readRefusal(x, paused)
+		return h.readRefusal(x, paused), false
 	case x.resp.StatusCode >= http.StatusInternalServerError:
-		r.err = errors.Errorf("status %d", x.resp.StatusCode)
+		if r.err = c.checkHead(x.resp); r.err == nil {
+			r.err = h.readBody(x)
+		}
+		return r, false
 	case c.isEventStream(x.resp):
 		if r.err = c.checkHead(x.resp); r.err == nil {
 			r.err = readFirstEvent(x.resp)
@@ -127,7 +129,7 @@
 		r.begunAt = c.cfg.Clock.Now()
 		c.cfg.Scheduler.RecordActivity(h.slot)
 	}
-	return r
+	return r, r.err == nil
 }
 
 // errNoStream means that a stream that has begun cannot go on, because the response of the
@@ -137,7 +139,7 @@
 // readRefusal reads the response of a server that has not run the request, so that its
 // connection can be used again.
 func (h *hedge) readRefusal(x *serverExchange, paused bool) attemptResult {
-	r := attemptResult{outcome: notRunOutcome(x.resp), status: x.resp.StatusCode, mayHaveArrived: true, err: errNotRun}
+	r := attemptResult{outcome: notRunOutcome(x.resp), status: x.resp.StatusCode, mayHaveArrived: true}
 	if paused {
 		r.outcome = dispatch.Paused
 	}
@@ -219,24 +221,34 @@
 	defer watch.stop()
 	<-h.done
 	defer h.cancel()
-	c.adoptBody(h)
 	if h.exchange == nil {
+		c.keepError(h.takeBody())
 		watch.stop()
 		return c.markEnded(ctx, watch.markClosed(h.result))
 	}
 	watch.pending = h.exchange.pending
+	if c.readAhead = h.takeBody(); c.readAhead != nil {
+		c.heldParts = append(c.heldParts, c.readAhead.parts...)
+	}
 	return c.finish(ctx, h.exchange, watch, c.handleResponse(ctx, h.exchange.resp, h.slot, watch))
 }
 
-// adoptBody makes what a hedge has read of a response that is no stream the next result of
-// readResponse.
-func (c *call) adoptBody(h *hedge) {
-	if h.body == nil {
+// takeBody returns the complete response that the hedge has read; nil without one. The caller
+// gives its parts back.
+func (h *hedge) takeBody() *response {
+	body := h.body
+	h.body = nil
+	return body
+}
+
+// keepError keeps the 5xx response of a hedge, which may be nil, for the case that no server
+// gives a better one.
+func (c *call) keepError(resp *response) {
+	if resp == nil {
 		return
 	}
-	c.readAhead = h.body
-	c.heldParts = append(c.heldParts, h.body.parts...)
-	h.body = nil
+	c.serverError = resp
+	c.heldParts = append(c.heldParts, resp.parts...)
 }
 
 // newHedge returns a hedge of the attempt that w watches. The caller holds w.mu.
--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -60,6 +60,8 @@
 type spentHedge struct {
 	server     string
 	mayHaveRun bool
+	// serverError is the 5xx response of the server; nil if there was none.
+	serverError *response
 }
 
 // newStallWatch returns a watch that waits for the first byte of a response. If
@@ -222,7 +224,7 @@
 		w.abort()
 		return
 	}
-	w.spend(h.result)
+	w.spend(h.result, h.takeBody())
 	w.call.cfg.Scheduler.Release(h.slot, h.result.outcome)
 	w.call.recordEffect(h.slot.Server, &h.result)
 	h.cancel()
@@ -231,10 +233,10 @@
 	}
 }
 
-// spend records the result of the hedge in progress, which does not take over. The caller
-// holds w.mu.
-func (w *stallWatch) spend(r attemptResult) {
-	w.spent = append(w.spent, spentHedge{w.hedge.slot.Server.ID, r.mayHaveRun})
+// spend records the result of the hedge in progress, which does not take over. errorResponse is
+// its 5xx response, or nil. The caller holds w.mu.
+func (w *stallWatch) spend(r attemptResult, errorResponse *response) {
+	w.spent = append(w.spent, spentHedge{w.hedge.slot.Server.ID, r.mayHaveRun, errorResponse})
 	w.call.logAttempt(w.hedge.slot, &r, "the first server is still waited for")
 	if r.mayHaveRun {
 		w.runsLeft--
@@ -258,7 +260,7 @@
 	w.endSearch()
 	w.silentSince = w.call.cfg.Clock.Now()
 	if h := w.hedge; h != nil && h.reason == dispatch.Stalled {
-		w.spend(attemptResult{outcome: dispatch.Cancelled, err: errOvertaken, mayHaveArrived: true, mayHaveRun: true})
+		w.spend(attemptResult{outcome: dispatch.Cancelled, err: errOvertaken, mayHaveArrived: true, mayHaveRun: true}, nil)
 		h.discard()
 	}
 }
@@ -301,6 +303,7 @@
 	for _, s := range w.spent {
 		c.attemptCount++
 		c.attemptServers = append(c.attemptServers, s.server)
+		c.keepError(s.serverError)
 		if s.mayHaveRun {
 			c.mayHaveRunAt[s.server] = true
 			c.dispatchReq.TriedServers[s.server] = true
