A hedge takes over only with a response that can continue the stream

Callers saw a stream broken off although its server went on: the hedge took over, and then its first event had no ID or one after a gap, or its response was no stream although the client had the header and comments of the first one. The hedge checks the place of its first event, and knows what the client has after events without data as well.

--- a/request/forward/hedge.go
+++ b/request/forward/hedge.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -115,7 +116,7 @@
 		return r, false
 	case c.isEventStream(x.resp):
 		if r.err = c.checkHead(x.resp); r.err == nil {
-			r.err = readFirstEvent(x.resp)
+			r.err = h.readFirstEvent(x.resp)
 		}
 	case h.headerSent:
 		r.err = errNoStream
@@ -163,7 +164,7 @@
 }
 
 // readFirstEvent reads a stream up to its first event with data, or to its end.
-func readFirstEvent(resp *http.Response) error {
+func (h *hedge) readFirstEvent(resp *http.Response) error {
 	reader := bufio.NewReaderSize(resp.Body, 1<<10)
 	var read bytes.Buffer
 	for {
@@ -178,6 +179,9 @@
 			return errNoData
 		}
 		if hasData(event) {
+			if err := h.checkPlace(event); err != nil {
+				return err
+			}
 			break
 		}
 	}
@@ -188,6 +192,29 @@
 	return nil
 }
 
+// checkPlace returns why an event with data cannot follow what the client has, or nil.
+func (h *hedge) checkPlace(event []byte) error {
+	id := eventID(event)
+	if !h.headerSent {
+		return nil
+	}
+	if id == "" {
+		return errNoEventID
+	}
+	previous, err := strconv.ParseInt(h.lastEventID, 10, 64)
+	if err != nil {
+		return nil
+	}
+	current, err := strconv.ParseInt(id, 10, 64)
+	switch {
+	case err != nil:
+		return errNoEventID
+	case current > previous+1:
+		return errEventGap
+	}
+	return nil
+}
+
 // close closes the connection of a hedge that has ended, and gives the memory of the body
 // back.
 func (h *hedge) close() {
--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -218,6 +218,12 @@
 	if w.hedge != h {
 		return
 	}
+	if h.body != nil && h.exchange != nil && w.headerSent {
+		// The header was sent after the hedge had begun.
+		h.result = attemptResult{outcome: dispatch.Cancelled, err: errNoStream, mayHaveArrived: true, mayHaveRun: true}
+		h.close()
+		h.exchange, h.body = nil, nil
+	}
 	if h.exchange != nil {
 		w.reason = h.reason
 		w.takenOver.Store(true)
@@ -265,14 +271,20 @@
 	}
 }
 
-// awaitNext restarts the timeout, because the client has got the event with the given ID.
-func (w *stallWatch) awaitNext(lastEventID string) {
+// recordForwarded records what the client has of the response.
+func (w *stallWatch) recordForwarded(lastEventID string, headerSent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastEventID, w.headerSent = lastEventID, headerSent
+}
+
+// awaitNext restarts the timeout, because the client has got an event.
+func (w *stallWatch) awaitNext() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer == nil || w.takenOver.Load() {
 		return
 	}
-	w.lastEventID, w.headerSent = lastEventID, true
 	w.timer.Reset(eventTimeout)
 }
 
--- a/request/forward/stallwatch_test.go
+++ b/request/forward/stallwatch_test.go
@@ -101,7 +101,8 @@
 func (f *watchFixture) serverEvent() {
 	f.watch.recordActivity()
 	f.scheduler.RecordActivity(f.slot)
-	f.watch.awaitNext("1")
+	f.watch.recordForwarded("1", true)
+	f.watch.awaitNext()
 	synctest.Wait()
 }
 
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -79,9 +79,10 @@
 			}
 			return r
 		}
+		watch.recordForwarded(c.lastEventID, c.headerSent)
 		if withData {
 			// The time for which a slow client blocks the write is no silence of the server.
-			watch.awaitNext(c.lastEventID)
+			watch.awaitNext()
 		}
 		mover.tryMove(ctx)
 	}
