A second hedge at a server uses a new connection

On the connection of the first hedge, a late copy of its refusal would be taken for the response to the second one, although the server then runs the request. Only the servers of earlier attempts counted, not those of earlier hedges.

go test -race -run TestHedgeAfterARefusal ./request/forward failed before (1 connection for 4 requests), and passes.

--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -243,6 +243,7 @@
 // its 5xx response, or nil. The caller holds w.mu.
 func (w *stallWatch) spend(r attemptResult, errorResponse *response) {
 	w.spent = append(w.spent, spentHedge{w.hedge.slot.Server.ID, r.mayHaveRun, errorResponse})
+	w.attemptServers = append(w.attemptServers, w.hedge.slot.Server.ID)
 	w.call.logAttempt(w.hedge.slot, &r, "the first server is still waited for")
 	if r.mayHaveRun {
 		w.runsLeft--
