A search for a move does not hide the search of a silent server

A streamMover set the function that ends the search of a silent server to nil. The search went on after the server's next event, took a slot before the requests that waited, and began a hedge that was not needed.

go test -race -run TestSearchOfASilentServerEnds ./request/forward failed before, and passes.

--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -154,7 +154,9 @@
 	if w.timer == nil || !w.mayHedge() {
 		return nil, false
 	}
-	w.cancelSearch = cancel
+	if cancel != nil {
+		w.cancelSearch = cancel
+	}
 	req := w.retryReq
 	return &req, true
 }
