A server that falls silent during a move is still left

The timer that fired while the hedge of a move was in progress was not set again. When that hedge failed, the request stayed at the silent server until its deadline.

go test -race -run TestServerFallsSilentDuringAMove ./request/forward failed before, and passes.

--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -107,6 +107,9 @@
 // retry budget does not allow a retry, it is called again only after the server has sent an
 // event. A stream whose server is silent waits for a slot.
 func (w *stallWatch) onTimeout() {
+	if w.recheckAfterHedge() {
+		return
+	}
 	scheduler := w.call.cfg.Scheduler
 	recheck := stallRecheckInterval
 	// The silence of a server that runs no streams says nothing: it responds only at the
@@ -131,6 +134,18 @@
 	w.beginHedge(w.ctx, slot)
 }
 
+// recheckAfterHedge makes onTimeout be called again later if a hedge is in progress, because it
+// may fail. It reports whether one is.
+func (w *stallWatch) recheckAfterHedge() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || w.hedge == nil {
+		return false
+	}
+	w.timer.Reset(stallRecheckInterval)
+	return true
+}
+
 // searchBeforeWaiting waits for a slot at another server, before the requests that wait
 // for one, and then begins a hedge. The wait ends without a slot when the server sends an
 // event, when the attempt ends, or when too little time is left.
