A request whose hedge may have run is not refused

A request that ended just when its first server had refused it got 503, although a hedge was in progress at another server. 503 promises that it has not run.

go test -race -run TestRequestEndsDuringAHedge ./request/forward, first case, failed before.

--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -154,6 +154,9 @@
 // client has left or the response has begun, it aborts the client connection.
 // Otherwise it sends c.serverError or, if this is nil, an error response.
 func (c *call) giveUp(ctx context.Context, cause error) {
+	if c.nextHedge != nil {
+		c.mayHaveRunAt[c.nextHedge.slot.Server.ID] = true
+	}
 	if c.clientGone || c.httpReq.Context().Err() != nil {
 		c.stats.clientLeft.Inc(1)
 		c.logEvent(eventClientLeft, eventlog.Fields{"reason": "client closed the connection"})
