A request whose hedge may have run waits for a further server

After a refusal of its first server it got 502 at once, because only the first attempt, not a hedge, set the wait for a slot that a request gets which cannot be refused any more.

go test -race -run TestRequestEndsDuringAHedge ./request/forward: both cases failed before, and pass.

--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -337,6 +337,7 @@
 		if s.mayHaveRun {
 			c.mayHaveRunAt[s.server] = true
 			c.dispatchReq.TriedServers[s.server] = true
+			c.dispatchReq.MaxRetryWait = retryWait
 		}
 	}
 	w.spent = nil
