--- a/request/forward/hedgewatch_test.go
+++ b/request/forward/hedgewatch_test.go
@@ -98,15 +98,27 @@
 		})
 		second := newServer(t, "second", func(receivedRequest, int) string { return "" })
 		third := newOKServer(t, "third")
-		f := newFixture(t, func(c *catalog.Config) { c.Routes[0].MaxServers = 3 }, first)
+		f := newFixture(t, func(c *catalog.Config) { c.Routes[0].MaxServers = 3 }, first, second, third)
+		inUse := map[string][]dispatch.Slot{}
+		for {
+			slot, ok := f.scheduler.TryAcquire(&dispatch.Request{Service: "registry", TriedServers: map[string]bool{"first": true}})
+			if !ok {
+				break
+			}
+			inUse[slot.Server.ID] = append(inUse[slot.Server.ID], slot)
+		}
+		release := func(id string) {
+			for _, slot := range inUse[id] {
+				f.scheduler.Release(slot, dispatch.Served)
+			}
+		}
 		responses := make(chan clientResponse, 1)
 		go func() { responses <- f.send(t, http.MethodPost, "/safe/", "") }()
 		So(wait.Until(func() bool { return first.requestCount() == 1 }), ShouldBeTrue)
-		f.listSecond(first, second, 4)
-		go func() {
-			<-time.After(1500 * time.Millisecond)
-			f.listSecond(first, third, 4)
-		}()
+		release("second")
+		So(wait.Until(func() bool { return second.requestCount() == 1 }), ShouldBeTrue)
+		<-time.After(900 * time.Millisecond)
+		release("third")
 		So((<-responses).status, ShouldEqual, http.StatusOK)
 	})
 }
