A hedge that is recalled as it begins does not take over

The recall of a request marks it first and resets its connection afterwards. A hedge whose first event came between took over, and was reset; a refusal that was complete then put the connection into the pool, where the reset hit another request.

go test -race -run TestHedgeIsRecalledAsItBegins ./request/forward failed before, and passes.

--- a/request/forward/exchange.go
+++ b/request/forward/exchange.go
@@ -39,6 +39,13 @@
 	return x, ok
 }
 
+// endPending ends the wait for the begin of the request. It reports whether the request has not
+// been recalled, which closes the connection.
+func (x *serverExchange) endPending() bool {
+	x.pending.End()
+	return !x.pending.Recalled()
+}
+
 // close closes the connection.
 func (x *serverExchange) close() {
 	x.stopAbort()
--- a/request/forward/hedge.go
+++ b/request/forward/hedge.go
@@ -80,8 +80,7 @@
 	case begun:
 		h.exchange = x
 		return r
-	case r.err == nil && x.stopAbort():
-		x.pending.End()
+	case r.err == nil && x.stopAbort() && x.endPending():
 		c.cfg.Pool.Put(conn, x.resp)
 		return r
 	}
@@ -125,8 +124,12 @@
 			r.err = h.readBody(x)
 		}
 	}
-	if r.err == nil {
-		x.pending.End()
+	switch {
+	case r.err != nil:
+	case !x.endPending():
+		// The connection is about to be closed.
+		r.err = errOutdated
+	default:
 		r.begunAt = c.cfg.Clock.Now()
 		c.cfg.Scheduler.RecordActivity(h.slot)
 	}
