Test: a moved stream without numeric IDs has events twice (known red)

The first server goes on while the hedge of a move begins, and the client has events then that the hedge sends again.

go test -race -run 'TestMovedStream|TestHeadRequestIs' ./request/forward

--- a/request/forward/hedge_test.go
+++ b/request/forward/hedge_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/rattanway/rattanway/connection/backend"
+	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/test/wait"
 	"github.com/rattanway/rattanway/version/catalog"
 )
@@ -233,3 +236,63 @@
 		})
 	}
 }
+
+// TestMovedStreamWithoutNumericIDs guards against events that a client gets twice, because the
+// first server goes on while the hedge of a move begins.
+func TestMovedStreamWithoutNumericIDs(t *testing.T) {
+	const lastID = 40
+	namedEvent := func(id int) string { return fmt.Sprintf("id: e%d\ndata: piece %d\n\n", id, id) }
+	Convey("A stream whose server loads weights has each event once", t, func() {
+		loading := newServer(t, "loading", func(r receivedRequest, _ int) string {
+			_, _ = io.WriteString(r.conn, streamHeader(r))
+			for id := 1; id <= lastID; id++ {
+				<-time.After(50 * time.Millisecond)
+				if _, err := io.WriteString(r.conn, chunk(namedEvent(id))); err != nil {
+					return ""
+				}
+			}
+			return lastChunk
+		})
+		second := newServer(t, "second", func(r receivedRequest, _ int) string {
+			<-time.After(200 * time.Millisecond) // it reads the prompt
+			last, _ := strconv.Atoi(strings.TrimPrefix(r.req.Header.Get("Last-Event-Id"), "e"))
+			out := streamHeader(r)
+			for id := last + 1; id <= lastID; id++ {
+				out += chunk(namedEvent(id))
+			}
+			return out + lastChunk
+		})
+		f := newFixture(t, nil, loading)
+		responses := make(chan clientResponse, 1)
+		go func() { responses <- f.send(t, http.MethodPost, "/resumable/", "") }()
+		So(wait.Until(func() bool { return loading.requestCount() == 1 }), ShouldBeTrue)
+		f.listSecond(loading, second, 4)
+		f.scheduler.SetAgentState(loading.listener.Addr().String(), &frame.AgentState{Loading: true})
+		want := ""
+		for id := 1; id <= lastID; id++ {
+			want += namedEvent(id)
+		}
+		r := <-responses
+		So(r.err, ShouldBeNil)
+		So(r.body, ShouldEqual, want)
+	})
+}
+
+// TestHeadRequestIsHedged checks a hedge whose response has no body.
+func TestHeadRequestIsHedged(t *testing.T) {
+	Convey("A HEAD request gets the header of the second server's response", t, func() {
+		silent := newSilentServer(t)
+		second := newServer(t, "second", func(r receivedRequest, _ int) string {
+			return "HTTP/1.1 200 X\r\nX-Id: " + r.req.Header.Get("X-Id") + "\r\nX-Receipt: r\r\nContent-Length: 6\r\n\r\n"
+		})
+		f := newFixture(t, nil, silent)
+		responses := make(chan clientResponse, 1)
+		go func() { responses <- f.send(t, http.MethodHead, "/safe/", "") }()
+		So(wait.Until(func() bool { return silent.requestCount() == 1 }), ShouldBeTrue)
+		f.listSecond(silent, second, 4)
+		r := <-responses
+		So(r.err, ShouldBeNil)
+		So(r.status, ShouldEqual, http.StatusOK)
+		So(r.header.Get("X-Receipt"), ShouldEqual, "r")
+	})
+}
