A stream without numeric IDs is not moved

Callers could see events twice (ORDER): while the hedge of a move begins, the first server goes on, and without numeric IDs nothing shows which events of the second one the client has by then.

go test -race -run TestMovedStreamWithoutNumericIDs ./request/forward failed before, and passes.

--- a/request/forward/move.go
+++ b/request/forward/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/rattanway/rattanway/request/dispatch"
 )
@@ -26,6 +27,11 @@
 		// The new server would read the prompt again, which may take longer than is left.
 		return
 	}
+	if _, err := strconv.ParseInt(c.lastEventID, 10, 64); err != nil {
+		// The present server goes on while the new one begins. Only numeric IDs show which
+		// events of the new one the client has by then.
+		return
+	}
 	if c.checkRetry(ctx, &attemptResult{mayHaveArrived: true, mayHaveRun: true, retryCounted: true}) != nil {
 		return
 	}
