A server whose hedge was overtaken may get the request again

Callers saw a stream broken off ("no server left to try") when its server broke off some time after a pause: the hedge begun in the pause, and discarded when the server went on, counted as a server tried, although it could run the request. With two servers per request, every pause of a second took the request's only way on. Such a server may get it again; the number of servers that run it stays within MaxServers.

go test -race -run TestServerBreaksOffAfterAHedge ./request/forward failed before, and passes.

--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -46,6 +46,8 @@
 	MaxRetryWait time.Duration
 	// TriedServers holds the IDs of the servers that must not receive the request again.
 	TriedServers map[string]bool
+	// OnlyServers holds the IDs of the servers that may get the request; nil if any may.
+	OnlyServers map[string]bool
 }
 
 // requirements is what decides which servers can run a request.
@@ -61,7 +63,7 @@
 	return requirements{
 		service: r.Service, model: r.Model, version: r.Version, objective: r.FirstByteObjective,
 		regions: strings.Join(r.RouteRegions, ",") + ";" + strings.Join(r.AccountRegions, ","),
-	}, len(r.TriedServers) == 0
+	}, len(r.TriedServers) == 0 && r.OnlyServers == nil
 }
 
 // Slot is a server's capacity for one request, assigned to a request.
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -407,6 +407,7 @@
 func (s *Scheduler) allowed(server *catalog.Server, req *Request, snapshot *catalog.Snapshot) bool {
 	region := s.cfg.Regions[server.DataCentre]
 	return !server.Leaving && !s.notices.leaving(server) && !snapshot.DataCentresOut[server.DataCentre] && !req.TriedServers[server.ID] &&
+		(req.OnlyServers == nil || req.OnlyServers[server.ID]) &&
 		catalog.RegionAllowed(req.RouteRegions, region) && catalog.RegionAllowed(req.AccountRegions, region)
 }
 
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 
@@ -140,7 +141,7 @@
 		return errors.Wrap(errNoRetry, "sent often enough")
 	case r.mayHaveRun && !c.route.Repeatable():
 		return errors.Wrap(errNoRetry, "may not be repeated")
-	case len(c.mayHaveRunAt) >= c.route.MaxServers:
+	case !c.hasServerLeft():
 		return errors.Wrap(errNoRetry, "no server left to try")
 	case r.retryCounted:
 		return nil
@@ -150,6 +151,21 @@
 	return nil
 }
 
+// hasServerLeft reports whether a server may get the request after those that may have run it:
+// a further one, or one whose hedge was overtaken. In the latter case only such a server may.
+func (c *call) hasServerLeft() bool {
+	if len(c.mayHaveRunAt) < c.route.MaxServers {
+		return true
+	}
+	c.dispatchReq.OnlyServers = maps.Clone(c.mayHaveRunAt)
+	for id := range c.mayHaveRunAt {
+		if !c.dispatchReq.TriedServers[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // giveUp ends a request for which no complete response was forwarded. If the
 // client has left or the response has begun, it aborts the client connection.
 // Otherwise it sends c.serverError or, if this is nil, an error response.
--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/request/dispatch"
 	"github.com/rattanway/rattanway/version/catalog"
@@ -60,6 +62,8 @@
 type spentHedge struct {
 	server     string
 	mayHaveRun bool
+	// overtaken is true if the first server went on before the hedge had begun.
+	overtaken bool
 	// serverError is the 5xx response of the server; nil if there was none.
 	serverError *response
 }
@@ -259,7 +263,9 @@
 // spend records the result of the hedge in progress, which does not take over. errorResponse is
 // its 5xx response, or nil. The caller holds w.mu.
 func (w *stallWatch) spend(r attemptResult, errorResponse *response) {
-	w.spent = append(w.spent, spentHedge{w.hedge.slot.Server.ID, r.mayHaveRun, errorResponse})
+	w.spent = append(w.spent, spentHedge{
+		server: w.hedge.slot.Server.ID, mayHaveRun: r.mayHaveRun, overtaken: errors.Is(r.err, errOvertaken), serverError: errorResponse,
+	})
 	w.attemptServers = append(w.attemptServers, w.hedge.slot.Server.ID)
 	w.call.logAttempt(w.hedge.slot, &r, "the first server is still waited for")
 	if r.mayHaveRun {
@@ -336,7 +342,7 @@
 		c.keepError(s.serverError)
 		if s.mayHaveRun {
 			c.mayHaveRunAt[s.server] = true
-			c.dispatchReq.TriedServers[s.server] = true
+			c.dispatchReq.TriedServers[s.server] = !s.overtaken
 			c.dispatchReq.MaxRetryWait = retryWait
 		}
 	}
