Test: hedges without time, and two silent servers (known red)

- TestNoHedgeWithoutTime: a hedge of a request that is no stream begins when less than minRetryTime is left.
Nothing is sent, but a retry and an attempt are counted.
- TestTwoSilentServers: with MaxServers 3 and two silent servers a third one never gets the request (504), because only one hedge is in progress at a time and nothing watches it.

go test -race -run 'TestNoHedgeWithoutTime|TestTwoSilentServers' ./request/forward

--- a/request/forward/hedge_test.go
+++ b/request/forward/hedge_test.go
@@ -296,3 +296,29 @@
 		So(r.header.Get("X-Receipt"), ShouldEqual, "r")
 	})
 }
+
+// TestTwoSilentServers guards against a request that stays at two silent servers although a
+// third one may run it.
+func TestTwoSilentServers(t *testing.T) {
+	Convey("A request that three servers may run leaves two silent ones", t, func() {
+		silent := func(id string) *fakeServer {
+			return newServer(t, id, func(receivedRequest, int) string {
+				<-t.Context().Done()
+				return ""
+			})
+		}
+		first, second := silent("first"), silent("second")
+		third := newServer(t, "third", func(r receivedRequest, _ int) string { return streamHeader(r) + chunk(event(1)) + lastChunk })
+		f := newFixture(t, func(c *catalog.Config) { c.Routes[3].MaxServers = 3 }, first)
+		responses := make(chan clientResponse, 1)
+		go func() { responses <- f.send(t, http.MethodPost, "/resumable/", "") }()
+		So(wait.Until(func() bool { return first.requestCount() == 1 }), ShouldBeTrue)
+		f.listSecond(first, second, 4)
+		So(wait.Until(func() bool { return second.requestCount() == 1 }), ShouldBeTrue)
+		f.listSecond(first, third, 4)
+		r := <-responses
+		So(r.err, ShouldBeNil)
+		So(r.status, ShouldEqual, http.StatusOK)
+		So(third.requestCount(), ShouldEqual, 1)
+	})
+}
--- a/request/forward/hedgewatch_test.go
+++ b/request/forward/hedgewatch_test.go
@@ -152,3 +152,24 @@
 		So(begun, ShouldBeFalse)
 	})
 }
+
+// TestNoHedgeWithoutTime guards against retries that are counted although no time is left to
+// send the request.
+func TestNoHedgeWithoutTime(t *testing.T) {
+	Convey("No hedge of a request that is no stream begins when too little time is left", t, func() {
+		var hedged bool
+		var left map[string]int
+		virtually(t, func(t *testing.T) {
+			r := route("/safe/", catalog.KindSafe)
+			r.Timeout = 2*time.Second + minRetryTime/2
+			f := newWatchFixture(t, r, 10)
+			f.silentFor(1900 * time.Millisecond)
+			f.releaseBusy()
+			f.silentFor(110 * time.Millisecond)
+			hedged = f.hedgedAfter > 0
+			left = f.finish()
+		})
+		So(hedged, ShouldBeFalse)
+		So(left, ShouldBeEmpty)
+	})
+}
