No hedge begins without time to send the request

The search of a request that is no stream did not look at the time that is left. Less than minRetryTime before the deadline a hedge counted a retry and an attempt, and sent nothing.

go test -race -run TestNoHedgeWithoutTime ./request/forward failed before, and passes.

--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -127,7 +127,7 @@
 		recheck = min(recheck, max(untilSilent, time.Millisecond))
 	}
 	req, ok := w.searchRequest(nil)
-	if !ok || w.ctx.Err() != nil {
+	if !ok || w.ctx.Err() != nil || w.call.timeLeft(w.call.cfg.Clock.Now()) < minRetryTime {
 		return
 	}
 	slot, ok := scheduler.TryAcquire(req)
