--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/rattanway/rattanway/process/eventlog"
 	"github.com/rattanway/rattanway/request/dispatch"
 	"github.com/rattanway/rattanway/version/catalog"
@@ -27,7 +29,7 @@
 	pending *dispatch.PendingBegin
 	// attemptServers lists the servers of the attempts so far.
 	attemptServers []string
-	// startHedge runs a hedge in the background and then calls hedgeBegun or hedgeFailed.
+	// startHedge runs a hedge in the background and then calls hedgeEnded.
 	startHedge func(*hedge)
 	// takenOver is true once the hedge has begun and the watch has closed the connection.
 	takenOver atomic.Bool
@@ -61,6 +63,10 @@
 type spentHedge struct {
 	server     string
 	mayHaveRun bool
+	// overtaken is true if the first server went on before the hedge had begun.
+	overtaken bool
+	// serverError is the 5xx response of the server; nil if there was none.
+	serverError *response
 }
 
 // newStallWatch returns a watch that waits for the first byte of a response. If
@@ -74,7 +80,7 @@
 	w.startHedge = func(h *hedge) {
 		go func() {
 			h.run()
-			w.endHedge(h)
+			w.hedgeEnded(h)
 		}()
 	}
 	w.addTried(slot.Server.ID)
@@ -108,8 +114,7 @@
 // event. A stream whose server is silent waits for a slot. A call that is late means that
 // this process did not run: what the server has sent meanwhile is read first.
 func (w *stallWatch) onTimeout() {
-	if w.isLate() {
-		w.resetTimer(stallRecheckInterval)
+	if !w.isDue() {
 		return
 	}
 	scheduler := w.call.cfg.Scheduler
@@ -125,7 +130,7 @@
 		recheck = min(recheck, max(untilSilent, time.Millisecond))
 	}
 	req, ok := w.searchRequest(nil)
-	if !ok || w.ctx.Err() != nil {
+	if !ok || w.ctx.Err() != nil || w.call.timeLeft(w.call.cfg.Clock.Now()) < minRetryTime {
 		return
 	}
 	slot, ok := scheduler.TryAcquire(req)
@@ -136,11 +141,16 @@
 	w.beginHedge(w.ctx, slot)
 }
 
-// isLate reports whether the timer has fired much later than it was due.
-func (w *stallWatch) isLate() bool {
+// isDue reports whether a search for another server may begin. If a hedge is in progress, which
+// may fail, or the timer has fired late, it makes onTimeout be called again.
+func (w *stallWatch) isDue() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.call.cfg.Clock.Now().Sub(w.dueAt) > maxTimerDelay
+	if w.hedge != nil || w.call.cfg.Clock.Now().Sub(w.dueAt) > maxTimerDelay {
+		w.arm(stallRecheckInterval)
+		return false
+	}
+	return true
 }
 
 // searchBeforeWaiting waits for a slot at another server, before the requests that wait
@@ -166,7 +176,9 @@
 	if w.timer == nil || !w.mayHedge() {
 		return nil, false
 	}
-	w.cancelSearch = cancel
+	if cancel != nil {
+		w.cancelSearch = cancel
+	}
 	req := w.retryReq
 	return &req, true
 }
@@ -222,21 +234,27 @@
 	w.startHedge(w.hedge)
 }
 
-// endHedge is called when a hedge has begun or failed. The attempt ends if the hedge has
+// hedgeEnded is called when a hedge has begun or failed. The attempt ends if the hedge has
 // begun, unless it is no longer needed.
-func (w *stallWatch) endHedge(h *hedge) {
+func (w *stallWatch) hedgeEnded(h *hedge) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.hedge != h {
 		return
 	}
+	if h.body != nil && h.exchange != nil && w.headerSent {
+		// The header was sent after the hedge had begun.
+		h.result = attemptResult{outcome: dispatch.Cancelled, err: errNoStream, mayHaveArrived: true, mayHaveRun: true}
+		h.close()
+		h.exchange, h.body = nil, nil
+	}
 	if h.exchange != nil {
 		w.reason = h.reason
 		w.takenOver.Store(true)
 		w.abort()
 		return
 	}
-	w.spend(h.result)
+	w.spend(h.result, h.takeBody())
 	w.call.cfg.Scheduler.Release(h.slot, h.result.outcome)
 	w.call.recordEffect(h.slot.Server, &h.result)
 	h.cancel()
@@ -245,10 +263,13 @@
 	}
 }
 
-// spend records the result of the hedge in progress, which does not take over. The caller
-// holds w.mu.
-func (w *stallWatch) spend(r attemptResult) {
-	w.spent = append(w.spent, spentHedge{w.hedge.slot.Server.ID, r.mayHaveRun})
+// spend records the result of the hedge in progress, which does not take over. errorResponse is
+// its 5xx response, or nil. The caller holds w.mu.
+func (w *stallWatch) spend(r attemptResult, errorResponse *response) {
+	w.spent = append(w.spent, spentHedge{
+		server: w.hedge.slot.Server.ID, mayHaveRun: r.mayHaveRun, overtaken: errors.Is(r.err, errOvertaken), serverError: errorResponse,
+	})
+	w.attemptServers = append(w.attemptServers, w.hedge.slot.Server.ID)
 	w.call.logAttempt(w.hedge.slot, &r, "the first server is still waited for")
 	if r.mayHaveRun {
 		w.runsLeft--
@@ -272,19 +293,25 @@
 	w.endSearch()
 	w.silentSince = w.call.cfg.Clock.Now()
 	if h := w.hedge; h != nil && h.reason == dispatch.Stalled {
-		w.spend(attemptResult{outcome: dispatch.Cancelled, err: errOvertaken, mayHaveArrived: true, mayHaveRun: true})
+		w.spend(attemptResult{outcome: dispatch.Cancelled, err: errOvertaken, mayHaveArrived: true, mayHaveRun: true}, nil)
 		h.discard()
 	}
 }
 
-// awaitNext restarts the timeout, because the client has got the event with the given ID.
-func (w *stallWatch) awaitNext(lastEventID string) {
+// recordForwarded records what the client has of the response.
+func (w *stallWatch) recordForwarded(lastEventID string, headerSent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastEventID, w.headerSent = lastEventID, headerSent
+}
+
+// awaitNext restarts the timeout, because the client has got an event.
+func (w *stallWatch) awaitNext() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer == nil || w.takenOver.Load() {
 		return
 	}
-	w.lastEventID, w.headerSent = lastEventID, true
 	w.arm(eventTimeout)
 }
 
@@ -321,9 +348,11 @@
 	for _, s := range w.spent {
 		c.attemptCount++
 		c.attemptServers = append(c.attemptServers, s.server)
+		c.keepError(s.serverError)
 		if s.mayHaveRun {
 			c.mayHaveRunAt[s.server] = true
-			c.dispatchReq.TriedServers[s.server] = true
+			c.dispatchReq.TriedServers[s.server] = !s.overtaken
+			c.dispatchReq.MaxRetryWait = retryWait
 		}
 	}
 	w.spent = nil
