--- a/request/dispatch/demand.go
+++ b/request/dispatch/demand.go
@@ -23,6 +23,11 @@
 func (s *Scheduler) burstAllows(st *serverState, server *catalog.Server, req *Request, version, freeSlotCount int, now time.Time) bool {
 	remote := server.DataCentre != s.cfg.DataCentre
 	count := s.peers.activeCount(remote)
+	if freeSlotCount != maxServerQueueLength {
+		st.lastPlaceSince = time.Time{}
+	} else if st.lastPlaceSince.IsZero() {
+		st.lastPlaceSince = now
+	}
 	if age := s.demandAge(st, req, version, now); age < demandMemory {
 		return st.burstLimiter.AllowsInDemand(now, freeSlotCount, count, s.shareRankAt(server), age, remote)
 	}
@@ -30,14 +35,18 @@
 }
 
 // demandAge returns the time since other entry instances probably wanted the slots of a
-// server with weights as well: since it became ready with a version of them, or since
-// all servers were full when a request here needed one. It is demandMemory if that is
-// longer ago, and for a plain service. The caller holds s.mu.
+// server with weights as well: since it became ready with a version of them, since all
+// its slots but the one in its queue were found taken, or since all servers were full
+// when a request here needed one. It is demandMemory if that is longer ago, and for a
+// plain service. The caller holds s.mu.
 func (s *Scheduler) demandAge(st *serverState, req *Request, version int, now time.Time) time.Duration {
 	if req.Model == "" {
 		return demandMemory
 	}
 	age := min(demandMemory, now.Sub(st.weightsSince(req.Model, version, now)))
+	if !st.lastPlaceSince.IsZero() {
+		age = min(age, now.Sub(st.lastPlaceSince))
+	}
 	if shortAt, ok := s.shortAt[req.Service]; ok {
 		age = min(age, now.Sub(shortAt))
 	}
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -109,6 +109,9 @@
 	// seenWeights holds the weights of each model that the server held at the last search
 	// for a slot.
 	seenWeights map[string]seenWeights
+	// lastPlaceSince is when only the place in the server's queue was first found free;
+	// zero if that is not so.
+	lastPlaceSince time.Time
 	// lastResponseAt is when the server last sent something; zero if it has not.
 	lastResponseAt time.Time
 	// stalledAt is when the last attempt ended that stalled; zero if the server has sent
