Test: TestServerThatSendsWithoutEnd logs all statuses and failures

Now each case logs its statuses, the memory held and the failures with body and error. No condition changes.

--- a/request/forward/endless_test.go
+++ b/request/forward/endless_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -94,6 +95,7 @@
 			before := heldBytes()
 			callAll := func(path string) (statuses map[int]int, most uint64) {
 				statuses = map[int]int{}
+				failures := map[string]int{}
 				var mu sync.Mutex
 				var callers sync.WaitGroup
 				for range callerCount {
@@ -102,6 +104,9 @@
 						mu.Lock()
 						defer mu.Unlock()
 						statuses[r.status]++
+						if r.status != http.StatusOK {
+							failures[fmt.Sprintf("%d %q, error %v", r.status, strings.TrimSpace(r.body), r.err)]++
+						}
 					})
 				}
 				done := make(chan struct{})
@@ -112,6 +117,7 @@
 				for {
 					select {
 					case <-done:
+						t.Logf("%s, %s: statuses %v, at most %d bytes held; failures: %v", kind.name, path, statuses, most-min(most, before), failures)
 						return statuses, most
 					case <-time.After(50 * time.Millisecond):
 						most = max(most, heldBytes())
