--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -114,8 +114,8 @@
 	lastPlaceSince time.Time
 	// lastResponseAt is when the server last sent something; zero if it has not.
 	lastResponseAt time.Time
-	// stalledAt is when the last attempt ended that stalled, or that its client gave up at
-	// a silent server; zero if the server has sent something since. silenceCountedAt is when an attempt last counted as a failure
+	// stalledAt is when the last attempt ended that stalled; zero if the server has sent
+	// something since. silenceCountedAt is when an attempt last counted as a failure
 	// because it stalled.
 	stalledAt, silenceCountedAt time.Time
 
@@ -284,14 +284,10 @@
 	defer s.mu.Unlock()
 	st := s.stateOf(slot.Server.ID)
 	st.runningCount--
-	now := s.clock.Now()
-	switch {
-	case o == Stalled:
-		st.recordStall(slot, now)
-	case o == Cancelled && st.wasSilent(slot, now):
-		st.stalledAt = now
-	default:
-		st.health.Record(o, now)
+	if o == Stalled {
+		st.recordStall(slot, s.clock.Now())
+	} else {
+		st.health.Record(o, s.clock.Now())
 	}
 	s.assignWaiting()
 }
--- a/request/dispatch/silent.go
+++ b/request/dispatch/silent.go
@@ -55,19 +55,12 @@
 	st.stalledAt = now
 }
 
-// wasSilent reports whether a server with weights had sent nothing for silentPeriod when an
-// attempt there ended at time now. Other servers may work for longer before they respond.
-func (st *serverState) wasSilent(slot Slot, now time.Time) bool {
-	silentSince := later(slot.assignedAt, st.stallDetector.lastActivity)
-	return slot.Version > 0 && now.Sub(silentSince) >= silentPeriod
-}
-
 // unheardPeriod limits how long a server that does not get any request to respond to is
 // treated as one that may still be silent.
 const unheardPeriod = 5 * time.Second
 
 // allowsUnheard reports whether a server may get a request. One that has sent nothing
-// since an attempt there stalled, or was given up by its client, gets one at a time, to find out whether it goes on, and
+// since an attempt there stalled gets one at a time, to find out whether it goes on, and
 // none that has been sent before and has no time to lose. Other servers may get any.
 func (st *serverState) allowsUnheard(req *Request, now time.Time) bool {
 	if st.stalledAt.IsZero() || now.Sub(st.stalledAt) >= unheardPeriod {
