A planned stop waits for a head that is arriving on a used connection

A client whose request was arriving in parts on a connection that it had used before got neither a response nor a refusal when the instance stopped at that moment. Cause: the HTTP server reports a connection as idle until the head of the next request is complete, so the stop did not wait for it and Shutdown closed it. On new connections such heads have a second.

Now a head whose first byte was read within the last second counts as a request in progress. Since each connection closes after its next response, a client can delay the stop by a second at most, within the grace.

--- a/daemon/hosted/clientconn.go
+++ b/daemon/hosted/clientconn.go
@@ -19,6 +19,8 @@
 	// lastReadTimeout is the time of the read before an idle connection is closed. Only bytes
 	// that have arrived already count.
 	lastReadTimeout = 5 * time.Millisecond
+	// headArrivalTime is the time for which a planned stop waits for the rest of a head.
+	headArrivalTime = time.Second
 	// readAhead is the size of the HTTP server's read buffer: so much more than a head may
 	// be read with it.
 	readAhead = 4 << 10
@@ -70,10 +72,25 @@
 func (c *clientConns) record(conn net.Conn, state http.ConnState) {
 	c.connCounts.record(conn, state)
 	if conn, ok := conn.(*clientConn); ok {
-		conn.setState(state)
+		conn.setState(state, c.isFull())
 	}
 }
 
+// countForStop returns the number of connections without a complete head of a request, and
+// of those with a request in progress, for [clientStop]. A request whose head has just begun
+// to arrive on a connection that was used before counts as in progress: the HTTP server
+// still takes the connection for idle and would close it.
+func (c *clientConns) countForStop() (unused, active int) {
+	unused, active, _ = c.counts()
+	now := time.Now()
+	for _, conn := range c.inState(http.StateIdle) {
+		if conn, ok := conn.(*clientConn); ok && conn.headBegunAfter(now.Add(-headArrivalTime)) {
+			active++
+		}
+	}
+	return unused, active
+}
+
 // isFull reports whether more connections are open than are kept.
 func (c *clientConns) isFull() bool { return c.total() > maxKeptConns }
 
@@ -200,12 +217,21 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, maxDiscarded) // until the client closes or the time is over
 }
 
-// setState follows the state that the HTTP server reports.
-func (c *clientConn) setState(state http.ConnState) {
+// headBegunAfter reports whether a part of a request's head has been read, the first byte
+// after t.
+func (c *clientConn) headBegunAfter(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == connInHead && c.since.After(t)
+}
+
+// setState follows the state that the HTTP server reports. full is true if more connections
+// are open than are kept.
+func (c *clientConn) setState(state http.ConnState, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case state == http.StateIdle, state == http.StateNew && !c.conns.isFull():
+	case state == http.StateIdle, state == http.StateNew && !full:
 		c.begin(connIdle)
 	case state == http.StateNew:
 		c.begin(connInHead)
--- a/daemon/hosted/clientconn_test.go
+++ b/daemon/hosted/clientconn_test.go
@@ -173,7 +173,7 @@
 		conns := newClientConns(0, gometrics.NewRegistry())
 		conns.limits.idle.current = 0
 		conn := &clientConn{Conn: raw, conns: conns}
-		conn.setState(http.StateIdle)
+		conn.setState(http.StateIdle, false)
 		n, err := conn.Read(make([]byte, 100))
 		So(err, ShouldBeNil)
 		So(n, ShouldEqual, len(wholeRequest))
@@ -222,7 +222,7 @@
 }
 
 // serveTCP serves handler on a new port with the given idle limit until the test ends.
-func serveTCP(t *testing.T, idleLimit time.Duration, handler http.HandlerFunc) (addr string, conns *clientConns) {
+func serveTCP(t *testing.T, idleLimit time.Duration, handler http.HandlerFunc, options ...func(*http.Server)) (addr string, conns *clientConns) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -233,6 +233,9 @@
 		Handler:           handler,
 		ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, ConnState: conns.record,
 	}
+	for _, option := range options {
+		option(server)
+	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(&clientListener{Listener: listener, conns: conns}) }()
 	t.Cleanup(func() {
--- a/daemon/hosted/connections.go
+++ b/daemon/hosted/connections.go
@@ -52,3 +52,16 @@
 	defer c.mu.Unlock()
 	return len(c.states)
 }
+
+// inState returns the connections in the given state.
+func (c *connCounts) inState(state http.ConnState) []net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conns []net.Conn
+	for conn, s := range c.states {
+		if s == state {
+			conns = append(conns, conn)
+		}
+	}
+	return conns
+}
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -307,10 +307,7 @@
 	e.stopping.Store(true)
 	stop := clientStop{
 		clock: e.clock, handler: e.handler, listener: e.clientListener, server: e.clientServer,
-		countConns: func() (int, int) {
-			unused, active, _ := e.clientConns.counts()
-			return unused, active
-		},
+		countConns: e.clientConns.countForStop,
 	}
 	if err := stop.run(stopGrace(&e.settings)); err != nil {
 		f := eventlog.Fields{"running": e.handler.ActiveCount()}
--- a/daemon/hosted/stop_test.go
+++ b/daemon/hosted/stop_test.go
@@ -213,3 +213,29 @@
 		}
 	})
 }
+
+// Guards against stops that close a connection on which a request is just arriving.
+func TestStopWhileAHeadArrives(t *testing.T) {
+	Convey("A request whose head is arriving on a connection that was used before gets a response", t, func() {
+		var handler stopHandler
+		var server *http.Server
+		addr, conns := serveTCP(t, time.Minute, handler.ServeHTTP, func(s *http.Server) { server = s })
+		conn, err := net.Dial("tcp", addr)
+		So(err, ShouldBeNil)
+		So(send(conn, wholeRequest), ShouldEqual, http.StatusServiceUnavailable)
+		stop := clientStop{
+			clock: clockwork.NewRealClock(), handler: handler, listener: io.NopCloser(nil), server: server,
+			countConns: conns.countForStop,
+		}
+		const grace = 1200 * time.Millisecond
+		stopped := make(chan error, 1)
+		go func() { stopped <- stop.run(grace) }()
+		<-time.After(grace/2 - 100*time.Millisecond)
+		_, err = io.WriteString(conn, wholeRequest[:20])
+		So(err, ShouldBeNil)
+		<-time.After(300 * time.Millisecond)
+		So(send(conn, wholeRequest[20:]), ShouldEqual, http.StatusServiceUnavailable)
+		So(<-stopped, ShouldBeNil)
+		So(conn.Close(), ShouldBeNil)
+	})
+}
