--- a/request/forward/hedge.go
+++ b/request/forward/hedge.go
@@ -54,12 +54,12 @@
 // attempt has failed.
 func (h *hedge) run() {
 	defer close(h.done)
-	h.result = h.call.onConnection(h.ctx, h.slot, h.useNewConn, h.begin)
+	h.result = h.call.onConnection(h.ctx, h.slot, h.useNewConn, h.attempt)
 }
 
-// begin sends the request on a connection, and reads the response until the request has
+// attempt sends the request on a connection, and reads the response until the request has
 // begun.
-func (h *hedge) begin(conn *backend.Conn) attemptResult {
+func (h *hedge) attempt(conn *backend.Conn) attemptResult {
 	c := h.call
 	x, ok := c.newExchange(h.ctx, conn, h.slot)
 	if !ok {
--- a/request/forward/stallwatch.go
+++ b/request/forward/stallwatch.go
@@ -29,8 +29,8 @@
 	pending *dispatch.PendingBegin
 	// attemptServers lists the servers of the attempts so far.
 	attemptServers []string
-	// startHedge runs a hedge in the background and then calls hedgeEnded.
-	startHedge func(*hedge)
+	// runHedge runs a hedge in the background and then calls hedgeEnded. Tests replace it.
+	runHedge func(*hedge)
 	// takenOver is true once the hedge has begun and the watch has closed the connection.
 	takenOver atomic.Bool
 	// reason is the outcome of the attempt if takenOver is true.
@@ -69,15 +69,16 @@
 	serverError *response
 }
 
-// newStallWatch returns a watch that waits for the first byte of a response. If
-// the request must not be sent to another server, the watch does nothing.
+// newStallWatch returns a watch over an attempt that waits for its first event or, if the
+// response is no stream, for the response. If the request must not be sent to another server,
+// the watch does nothing.
 func (c *call) newStallWatch(ctx context.Context, abort func(), slot dispatch.Slot) *stallWatch {
 	w := &stallWatch{
 		call: c, ctx: ctx, abort: abort, slot: slot, retryReq: c.dispatchReq, attemptServers: slices.Clone(c.attemptServers),
 		runsLeft: c.route.MaxServers - len(c.mayHaveRunAt) - 1, attemptsLeft: maxAttempts - c.attemptCount,
 		lastEventID: c.lastEventID, headerSent: c.headerSent, silentSince: c.cfg.Clock.Now(),
 	}
-	w.startHedge = func(h *hedge) {
+	w.runHedge = func(h *hedge) {
 		go func() {
 			h.run()
 			w.hedgeEnded(h)
@@ -105,7 +106,8 @@
 	w.retryReq.TriedServers = tried
 }
 
-// mayHedge reports whether a further server may get the request. The caller holds w.mu.
+// mayHedge reports whether a further server may get the request. The caller holds w.mu, unless
+// the watch is new.
 func (w *stallWatch) mayHedge() bool { return w.hedge == nil && w.runsLeft > 0 && w.attemptsLeft > 0 }
 
 // onTimeout begins a hedge if another server has a free slot and the retry budget allows a
@@ -207,7 +209,7 @@
 		scheduler.Release(slot, dispatch.Cancelled)
 		return
 	}
-	w.start(slot, dispatch.Stalled)
+	w.launch(slot, dispatch.Stalled)
 }
 
 // beginMove begins a hedge for a stream that is to be moved. Its retry is counted already.
@@ -218,11 +220,11 @@
 		w.call.cfg.Scheduler.Release(slot, dispatch.Cancelled)
 		return
 	}
-	w.start(slot, dispatch.Moved)
+	w.launch(slot, dispatch.Moved)
 }
 
-// start begins a hedge. The caller holds w.mu.
-func (w *stallWatch) start(slot dispatch.Slot, reason dispatch.Outcome) {
+// launch begins a hedge. The caller holds w.mu.
+func (w *stallWatch) launch(slot dispatch.Slot, reason dispatch.Outcome) {
 	w.endSearch()
 	w.attemptsLeft--
 	w.hedge = w.newHedge(slot, reason)
@@ -231,11 +233,11 @@
 		"server": slot.Server.ID, "first": w.slot.Server.ID, "reason": reason.String(),
 		"silentMs": w.call.cfg.Clock.Now().Sub(w.silentSince).Milliseconds(), "version": slot.Version, "running": slot.RunningCount,
 	})
-	w.startHedge(w.hedge)
+	w.runHedge(w.hedge)
 }
 
-// hedgeEnded is called when a hedge has begun or failed. The attempt ends if the hedge has
-// begun, unless it is no longer needed.
+// hedgeEnded is called when a hedge has begun at its server or failed. In the first case the
+// hedge takes over, unless it is no longer needed.
 func (w *stallWatch) hedgeEnded(h *hedge) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/request/forward/stallwatch_test.go
+++ b/request/forward/stallwatch_test.go
@@ -77,13 +77,13 @@
 	apply("busy", "silent")
 	f.slot = f.acquire(t)
 	f.watch = f.call.newStallWatch(ctx, func() { f.abortedAfter = time.Since(f.start) }, f.slot)
-	f.watch.startHedge = f.startHedge
+	f.watch.runHedge = f.runHedge
 	return f
 }
 
-// startHedge stands in for the attempt of a hedge, which lasts until it is cancelled or
+// runHedge stands in for the attempt of a hedge, which lasts until it is cancelled or
 // hedgeBegins is sent to.
-func (f *watchFixture) startHedge(h *hedge) {
+func (f *watchFixture) runHedge(h *hedge) {
 	f.hedgedAfter = time.Since(f.start)
 	go func() {
 		select {
