--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,8 +32,6 @@
 	// Deferred is true if the server has no free slot for this entry instance now,
 	// because others may have taken them; see [BurstLimiter].
 	Deferred bool
-	// HeardLately is true if the server has sent something to this entry instance lately.
-	HeardLately bool
 	// Penalty is the number of requests that is added to the load because the
 	// server fails often.
 	Penalty float64
@@ -53,21 +50,6 @@
 // full reports whether the server runs as many requests as its limit allows.
 func (c *Candidate) full() bool { return c.Slot.RunningCount >= c.Limit }
 
-// PreferHeard sets the limits of the servers with weights that have not been heard lately to 0,
-// unless no other one may get a request. It is for a request that has been sent before and has
-// no time to lose: under full load a server that stands still seems to be the one with a free
-// slot.
-func PreferHeard(all []Candidate) {
-	if !slices.ContainsFunc(all, func(c Candidate) bool { return c.HeardLately && c.Limit > 0 }) {
-		return
-	}
-	for i := range all {
-		if !all[i].HeardLately && all[i].Slot.Version > 0 {
-			all[i].Limit = 0
-		}
-	}
-}
-
 // ChooseCandidate returns the index of a candidate with a free slot, or -1 if
 // there is none. It chooses the least loaded candidate in the own data centre,
 // unless the load of a candidate in another data centre is lower by more than
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -405,12 +405,8 @@
 		if blocked {
 			c.Limit = 0
 		}
-		c.HeardLately = now.Sub(st.lastResponseAt) <= minStall
 		all = append(all, c)
 	}
-	if len(req.TriedServers) > 0 {
-		PreferHeard(all)
-	}
 	return all
 }
 
