Review: case 8, an unproven load used by the server list

Cause: an entry instance without an agent's report goes by the server list, also where the agent has said that the load is not proven.

--- a/review/.cases-2/main.go
+++ b/review/.cases-2/main.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	cases := map[string]func(string) int{"leaving": leaving, "unproven": unproven}
+	cases := map[string]func(string) int{"leaving": leaving, "unproven": unproven, "listed": listed}
 	run := cases[os.Args[1]]
 	if run == nil {
 		cannotRun("no case %s", os.Args[1])
