A load that its agent had not proven is no longer taken for proven by the next agent

Cause: whether a load is proven was known to one process alone. loadProof.observe took whatever the server held at the first report for proven, and entry instances forgot what an agent had said when its connection ended, and went by the list. In the trace the new agent reads no staged chunk before it publishes version 2.

Change: what a server holds counts as proven without evidence only if the server has accepted no order since its start. Agents publish their last proof (start of the server, accepted orders, versions); entry instances keep it, relay it and return it to the next agent of the server, and while no agent is connected they use no version that is newer than the proven one. Without a proof the agent reads the staged chunks back, and has the load repeated if they differ. That is evidence only if nobody has staged the right chunk over a wrong one meanwhile, so a disproved load is unloaded before any chunk is written.

A part of TestLoadProof asked for the fault itself (what a server holds when the agent starts is usable). It asks for the opposite now wherever an order has been accepted.

--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -133,7 +133,7 @@
 func (s *sender) changedAgents(current map[string]frame.RelayedAgent) (changed []frame.RelayedAgent, gone []string) {
 	for server, a := range current {
 		old, ok := s.sentAgents[server]
-		if ok && old.Instance == a.Instance && old.Loading == a.Loading && maps.Equal(old.LoadedVersions, a.LoadedVersions) {
+		if ok && old.Instance == a.Instance && old.Loading == a.Loading && old.Proven.Equal(a.Proven) && maps.Equal(old.LoadedVersions, a.LoadedVersions) {
 			continue
 		}
 		s.sentAgents[server] = a
--- a/connection/fleet/fleet_test.go
+++ b/connection/fleet/fleet_test.go
@@ -31,11 +31,12 @@
 
 	mu     sync.Mutex
 	states map[string]frame.AgentState
+	proven map[string]*frame.ProvenLoad
 }
 
 func newTestEntry(t *testing.T) *testEntry {
 	t.Helper()
-	e := &testEntry{holder: catalog.NewHolder(eventlog.Discard()), states: map[string]frame.AgentState{}}
+	e := &testEntry{holder: catalog.NewHolder(eventlog.Discard()), states: map[string]frame.AgentState{}, proven: map[string]*frame.ProvenLoad{}}
 	e.hub = NewHub(HubConfig{
 		Holder: e.holder, Log: eventlog.Discard(), Clock: clockwork.NewRealClock(),
 		KnownEntries: func() ([]frame.EntryAddr, <-chan struct{}) { return nil, nil },
@@ -45,8 +46,16 @@
 			delete(e.states, server)
 			if s != nil {
 				e.states[server] = *s
+				if s.Proven != nil {
+					e.proven[server] = s.Proven
+				}
 			}
 		},
+		ProvenLoad: func(server string) *frame.ProvenLoad {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.proven[server]
+		},
 	})
 	e.server = httptest.NewServer(httpserver.RequirePeerToken(token, e.hub))
 	e.declare(1, &catalog.Config{Version: 1, Services: map[string]*catalog.Service{
@@ -156,6 +165,22 @@
 		}), ShouldBeTrue)
 	})
 
+	Convey("An agent learns what an agent of the same backend server had proven before it", t, func() {
+		e := newTestEntry(t)
+		proven := &frame.ProvenLoad{StartUnixMs: 5, AcceptedOrders: 3, Versions: map[string]int{"herbs": 2}}
+		first := newTestAgent(t, "a", e)
+		first.Publish(frame.AgentState{LoadedVersions: proven.Versions, Proven: proven})
+		So(wait.Until(func() bool {
+			s, _ := e.state("server-a")
+			return s.Proven.Equal(proven)
+		}), ShouldBeTrue)
+		first.stop()
+		next := newTestAgent(t, "a", e)
+		So(wait.Until(func() bool {
+			return next.fleetMeets(func(f frame.Fleet) bool { return f.ProvenLoad.Equal(proven) })
+		}), ShouldBeTrue)
+	})
+
 	Convey("An entry instance takes the age of a declared version from an agent that received the version earlier", t, func() {
 		e := newTestEntry(t)
 		e.declare(1, nil)
--- a/connection/fleet/hub.go
+++ b/connection/fleet/hub.go
@@ -39,6 +39,10 @@
 	// OnAgentState is called with the address of a backend server and each state
 	// that its agent reports, and with a nil state when the agent has disconnected.
 	OnAgentState func(server string, state *frame.AgentState)
+	// ProvenLoad returns the last load of the backend server at an address that is known to
+	// be proven, which its agent gets when it connects; nil if there is none. A nil function
+	// knows none.
+	ProvenLoad func(server string) *frame.ProvenLoad
 	// KnownEntries returns the known entry instances, and a channel that is closed
 	// when there are more.
 	KnownEntries func() ([]frame.EntryAddr, <-chan struct{})
@@ -328,6 +332,9 @@
 // origin, the entry instances and, if the agent requests it, the list of agents.
 func (h *Hub) fleetMessage(s *catalog.Snapshot, entries []frame.EntryAddr, recipient *agentConn) frame.Fleet {
 	f := frame.Fleet{DataCentre: h.cfg.DataCentre}
+	if h.cfg.ProvenLoad != nil {
+		f.ProvenLoad = h.cfg.ProvenLoad(recipient.hello.ServerAddr)
+	}
 	for _, e := range entries {
 		f.EntryAddrs, f.EntryDataCentres = append(f.EntryAddrs, e.Addr), append(f.EntryDataCentres, e.DataCentre)
 	}
--- a/connection/fleet/relayed.go
+++ b/connection/fleet/relayed.go
@@ -13,7 +13,7 @@
 	for server, a := range h.agents {
 		if a.reported && a.hello.Instance.DataCentre == h.cfg.DataCentre {
 			local[server] = frame.RelayedAgent{
-				Instance: a.hello.Instance, ServerAddr: server, LoadedVersions: a.state.LoadedVersions, Loading: a.state.Loading,
+				Instance: a.hello.Instance, ServerAddr: server, LoadedVersions: a.state.LoadedVersions, Loading: a.state.Loading, Proven: a.state.Proven,
 			}
 		}
 	}
@@ -38,7 +38,7 @@
 		listed[a.ServerAddr] = true
 		listChanged = listChanged || known[a.ServerAddr].Instance != a.Instance
 		known[a.ServerAddr] = a
-		h.publishRelayed(a.ServerAddr, &frame.AgentState{LoadedVersions: a.LoadedVersions, Loading: a.Loading})
+		h.publishRelayed(a.ServerAddr, stateOf(a))
 	}
 	if complete {
 		for server := range known {
@@ -74,8 +74,13 @@
 	defer h.mu.Unlock()
 	for _, agents := range h.relayed {
 		if a, ok := agents[server]; ok {
-			return &frame.AgentState{LoadedVersions: a.LoadedVersions, Loading: a.Loading}
+			return stateOf(a)
 		}
 	}
 	return nil
 }
+
+// stateOf returns the state that a relayed agent has reported.
+func stateOf(a frame.RelayedAgent) *frame.AgentState {
+	return &frame.AgentState{LoadedVersions: a.LoadedVersions, Loading: a.Loading, Proven: a.Proven}
+}
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -1,6 +1,8 @@
 package frame
 
 import (
+	"maps"
+
 	"github.com/rattanway/rattanway/core"
 	"github.com/rattanway/rattanway/version/catalog"
 )
@@ -152,9 +154,10 @@
 	Instance core.Instance `cbor:"1,keyasint"`
 	// ServerAddr is the address of the agent's backend server.
 	ServerAddr string `cbor:"2,keyasint"`
-	// LoadedVersions and Loading are the values of the agent's last AgentState.
+	// LoadedVersions, Loading and Proven are the values of the agent's last AgentState.
 	LoadedVersions map[string]int `cbor:"3,keyasint,omitempty"`
 	Loading        bool           `cbor:"4,keyasint,omitempty"`
+	Proven         *ProvenLoad    `cbor:"5,keyasint,omitempty"`
 }
 
 // TableRequest requests the content of tables.
@@ -205,6 +208,33 @@
 	// Pace is how many times as long as declared the server takes; 0 if it is not known. It
 	// is the value at the last change that was worth a message.
 	Pace float64 `cbor:"4,keyasint,omitempty"`
+	// Proven is the last load of the server that is proven; nil if the agent knows of none.
+	Proven *ProvenLoad `cbor:"5,keyasint,omitempty"`
+}
+
+// ProvenLoad is a load of a backend server of which an agent has proven that the server took
+// the right chunks. The proof stays valid when the agent ends.
+type ProvenLoad struct {
+	// StartUnixMs is the server's start time, in Unix milliseconds. AcceptedOrders is the
+	// number of load orders that the server had accepted since then.
+	StartUnixMs    int64 `cbor:"1,keyasint"`
+	AcceptedOrders int64 `cbor:"2,keyasint,omitempty"`
+	// Versions maps the name of each loaded model to the number of the version.
+	Versions map[string]int `cbor:"3,keyasint,omitempty"`
+}
+
+// Newer reports whether p is of a later load than other, which may be nil.
+func (p *ProvenLoad) Newer(other *ProvenLoad) bool {
+	return other == nil || p.StartUnixMs > other.StartUnixMs ||
+		p.StartUnixMs == other.StartUnixMs && p.AcceptedOrders > other.AcceptedOrders
+}
+
+// Equal reports whether two proofs, which may be nil, are of the same load.
+func (p *ProvenLoad) Equal(other *ProvenLoad) bool {
+	if p == nil || other == nil {
+		return p == other
+	}
+	return p.StartUnixMs == other.StartUnixMs && p.AcceptedOrders == other.AcceptedOrders && maps.Equal(p.Versions, other.Versions)
 }
 
 // WantedVersion is a declared model version that agents must load into their
@@ -259,4 +289,8 @@
 	// EntryDataCentres are the data centres of EntryAddrs, in the same order; a name
 	// is empty if the data centre is unknown.
 	EntryDataCentres []string `cbor:"7,keyasint,omitempty"`
+	// ProvenLoad is the last load of the recipient's server that is known to be proven; nil if
+	// there is none. An agent that has just started learns from it what the agent before it had
+	// proven.
+	ProvenLoad *ProvenLoad `cbor:"8,keyasint,omitempty"`
 }
--- a/daemon/hosted/agent.go
+++ b/daemon/hosted/agent.go
@@ -126,7 +126,7 @@
 			FirstAge: firstLoadAge, LastAge: weightsDueAfter(&s) - lastLoadMargin, UsableFor: weightsDueAfter(&s) - weightsMargin,
 		},
 		Publish: func(state loading.ServerState) {
-			a.entryConnections.Publish(frame.AgentState{LoadedVersions: state.Weights, Loading: state.Loading, Pace: state.Pace})
+			a.entryConnections.Publish(agentState(state))
 		},
 		Client: &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: core.MaxResponseHeadBytes}},
 		Log:    log, Clock: clock, Metrics: a.metricsRegistry,
@@ -189,9 +189,21 @@
 		return
 	}
 	a.lastFleets[entryAddr] = *f
+	if p := f.ProvenLoad; p != nil {
+		a.loader.ConfirmLoad(loading.ProvenLoad{StartUnixMs: p.StartUnixMs, AcceptedOrders: p.AcceptedOrders, Weights: p.Versions})
+	}
 	a.loader.SetTarget(a.buildTarget())
 }
 
+// agentState returns the message with a state of the model server.
+func agentState(state loading.ServerState) frame.AgentState {
+	message := frame.AgentState{LoadedVersions: state.Weights, Loading: state.Loading, Pace: state.Pace}
+	if p := state.Proven; p != nil {
+		message.Proven = &frame.ProvenLoad{StartUnixMs: p.StartUnixMs, AcceptedOrders: p.AcceptedOrders, Versions: p.Weights}
+	}
+	return message
+}
+
 // onLoad passes on the load of this agent's service, which the entry instance at entryAddr
 // reports.
 func (a *agent) onLoad(entryAddr string, l frame.FleetLoad) {
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -131,7 +131,8 @@
 		Store: e.store, Restore: e.scheduler.RestoreParts, MaxEndAge: dispatch.MaxEndAge, Log: log, Clock: clock,
 	})
 	e.fleetHub = fleet.NewHub(fleet.HubConfig{
-		DataCentre: s.DataCentre, Holder: e.catalogHolder, OnAgentState: e.scheduler.SetAgentState, ServiceLoads: e.scheduler.ServiceLoads,
+		DataCentre: s.DataCentre, Holder: e.catalogHolder, OnAgentState: e.scheduler.SetAgentState, ProvenLoad: e.scheduler.ProvenLoad,
+		ServiceLoads: e.scheduler.ServiceLoads,
 		KnownEntries: func() ([]frame.EntryAddr, <-chan struct{}) { return e.exchange.KnownEntries() }, Log: log, Clock: clock,
 	})
 	e.exchange = exchange.New(exchange.Config{
--- a/request/dispatch/agentreport.go
+++ b/request/dispatch/agentreport.go
@@ -18,7 +18,7 @@
 }
 
 // SetAgentState records the state that an agent reports for the server at addr;
-// nil removes the recorded state.
+// nil removes the recorded state, but not what the agent has proven.
 func (s *Scheduler) SetAgentState(addr string, state *frame.AgentState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -31,5 +31,6 @@
 		loadingSince = s.clock.Now()
 	}
 	s.agents[addr] = agentReport{*state, loadingSince, s.clock.Now()}
+	s.provenLoads.record(addr, state.Proven)
 	s.assignWaiting()
 }
--- a/request/dispatch/exclusion.go
+++ b/request/dispatch/exclusion.go
@@ -25,6 +25,8 @@
 	AccountRegion
 	// LoadingWeights means that the server's agent loads weights there.
 	LoadingWeights
+	// LoadUnproven means that nobody has proven that the server loaded the right weights.
+	LoadUnproven
 	// NoWeights means that the server holds no weights of the model, WeightsOutdated that it
 	// holds a version that may not be used any more, and OtherVersion that the request needs
 	// another version.
@@ -58,7 +60,7 @@
 
 var exclusionTexts = [...]string{
 	"", "leaving", "data centre out", "already tried", "region not allowed by the route", "region not allowed by the client account",
-	"loading weights", "no weights", "weights outdated", "other weights", "backoff", "stalled", "unheard since a stall",
+	"loading weights", "load not proven", "no weights", "weights outdated", "other weights", "backoff", "stalled", "unheard since a stall",
 	"over the limit that it names", "paused", "over the cold limit", "full", "reserved", "deferred",
 }
 
@@ -107,13 +109,15 @@
 	if req.Model == "" {
 		return 0, NotExcluded
 	}
-	version := server.LoadedVersions[req.Model]
+	version, proven, known := s.provenLoads.version(server, req.Model)
 	if agent, ok := s.agents[server.Addr]; ok {
 		// The report of the server's own agent is newer than the server list.
 		version = agent.state.LoadedVersions[req.Model]
 		if agent.state.Loading {
 			return version, LoadingWeights
 		}
+	} else if known && !proven {
+		return version, LoadUnproven
 	}
 	switch {
 	case version == 0:
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -75,7 +75,8 @@
 	notices      *serverNotices
 	peers        *peerLoads
 	quarantine   *PartQuarantine
-	agents       map[string]agentReport  // by server address
+	agents       map[string]agentReport // by server address
+	provenLoads  provenLoads
 	retryBudgets map[string]*RetryBudget // by service name
 	// shortAt holds when all servers were last full for a request, by service name.
 	shortAt map[string]time.Time
@@ -183,7 +184,7 @@
 	return &Scheduler{
 		cfg: cfg, changes: changes, quarantine: NewPartQuarantine(changes), holder: holder, clock: clock,
 		servers: map[string]*serverState{}, notices: newServerNotices(), peers: newPeerLoads(),
-		agents: map[string]agentReport{}, retryBudgets: map[string]*RetryBudget{},
+		agents: map[string]agentReport{}, provenLoads: provenLoads{}, retryBudgets: map[string]*RetryBudget{},
 		shortAt: map[string]time.Time{}, pendingBegins: map[*PendingBegin]bool{},
 		times:        newServerTimes(cfg.Metrics),
 		urgencyStats: newUrgencyStats(cfg.Metrics),
@@ -409,5 +410,6 @@
 		}
 	}
 	s.notices.prune(listed, s.clock.Now())
+	s.provenLoads.prune(listed, s.agents)
 	s.assignWaiting()
 }
--- a/version/loading/loader.go
+++ b/version/loading/loader.go
@@ -161,6 +161,9 @@
 	if len(t.Agents) != len(l.target.Agents) || l.agentsChangedAt.IsZero() {
 		l.agentsChangedAt = l.cfg.Clock.Now()
 	}
+	if l.firstTargetAt.IsZero() && len(t.Wanted) > 0 {
+		l.firstTargetAt = l.cfg.Clock.Now()
+	}
 	l.target = t
 	if t.OriginAddr != "" {
 		l.cfg.OriginChunks.SetOrigin(t.OriginAddr)
@@ -171,6 +174,18 @@
 	}
 }
 
+// ConfirmLoad records the last load that an earlier agent of the server has proven. Entry
+// instances keep the proofs of the agents that were connected to them.
+func (l *Loader) ConfirmLoad(load ProvenLoad) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.proof.confirm(load)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run repeatedly reads the server's report and carries out the due steps until ctx ends.
 func (l *Loader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -217,6 +232,8 @@
 	if !usable {
 		proven, err := l.proveLoad(ctx, r)
 		switch {
+		case errors.Is(err, errNotYetDeclared):
+			return idlePollInterval
 		case err != nil:
 			l.logFailure("prove load", l.lastOrdered(), err)
 			return retryPause
@@ -281,6 +298,13 @@
 	if !ok {
 		return idlePollInterval
 	}
+	if held := r.Weights[model]; heldVersion == 0 && held > 0 && !r.Busy {
+		if err := l.unload(ctx, versionKey{model, held}, r); err != nil {
+			l.logFailure("unload", versionKey{model, held}, err)
+			return retryPause
+		}
+		return loadingPollInterval
+	}
 	if err := l.stage(ctx, w); err != nil {
 		l.logFailure("stage", versionKey{model, w.Version}, err)
 		return retryPause
@@ -293,13 +317,6 @@
 			return min(idlePollInterval, wait)
 		}
 	}
-	if heldVersion == 0 && r.Weights[model] == w.Version {
-		if err := l.unload(ctx, w, r); err != nil {
-			l.logFailure("unload", versionKey{model, w.Version}, err)
-			return retryPause
-		}
-		return loadingPollInterval
-	}
 	if err := l.loadVersion(ctx, w, r); err != nil {
 		l.logFailure("load", versionKey{model, w.Version}, err)
 		return retryPause
@@ -315,9 +332,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
-	if l.firstTargetAt.IsZero() {
-		l.firstTargetAt = now
-	}
 	if now.Sub(l.firstTargetAt) >= maxSettleTime {
 		return 0
 	}
--- a/version/loading/loading.go
+++ b/version/loading/loading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -118,4 +119,24 @@
 	// Pace is the server's pace at the last change that was worth publishing; 0 if it is
 	// not known.
 	Pace float64
+	// Proven is the last load that was proven; nil if there is none.
+	Proven *ProvenLoad
+}
+
+// ProvenLoad is a load of which it is proven that the server took the right chunks. The
+// proof stays valid when the process that has found it ends.
+type ProvenLoad struct {
+	// StartUnixMs is the server's start time, in Unix milliseconds. AcceptedOrders is the
+	// number of load orders that the server had accepted since then.
+	StartUnixMs, AcceptedOrders int64
+	// Weights maps each model to the loaded version.
+	Weights map[string]int
+}
+
+// equal reports whether two proofs, which may be nil, are of the same load.
+func (p *ProvenLoad) equal(other *ProvenLoad) bool {
+	if p == nil || other == nil {
+		return p == other
+	}
+	return p.StartUnixMs == other.StartUnixMs && p.AcceptedOrders == other.AcceptedOrders && maps.Equal(p.Weights, other.Weights)
 }
--- a/version/loading/loadorder.go
+++ b/version/loading/loadorder.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	if len(r.Weights) > 0 {
-		l.publish(ServerState{Weights: l.publishedWeights(), Loading: true})
+		l.publishLoading()
 		l.cfg.Clock.Sleep(loadNoticeTime)
 	}
 	for n := 1; n < maxVerifications && l.cfg.Clock.Since(verifiedAt) > maxVerificationAge; n++ {
@@ -82,19 +82,19 @@
 	return err
 }
 
-// unload orders the server to drop a version that it must load again.
-func (l *Loader) unload(ctx context.Context, w WantedVersion, r Report) error {
-	if err := l.verifyStaged(ctx, w); err != nil {
-		return err
-	}
-	return l.cfg.Server.Unload(ctx, w.Model, w.Version, r.AcceptedOrderCount)
+// unload orders the server to drop a version that it must load again, or instead of which
+// it loads another one. Staged chunks must not be written before that: if this process
+// ended then, the next one would find the right chunks staged and take the load for proven.
+func (l *Loader) unload(ctx context.Context, k versionKey, r Report) error {
+	return l.cfg.Server.Unload(ctx, k.model, k.version, r.AcceptedOrderCount)
 }
 
-// publishedWeights returns the weights that were published last.
-func (l *Loader) publishedWeights() map[string]int {
+// publishLoading publishes that the server is about to load.
+func (l *Loader) publishLoading() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Weights
+	last := l.state
+	l.mu.Unlock()
+	l.publish(ServerState{Weights: last.Weights, Loading: true, Proven: last.Proven})
 }
 
 // verifyStaged reads every staged chunk back. It stages a chunk again if the chunk
--- a/version/loading/loadproof_test.go
+++ b/version/loading/loadproof_test.go
@@ -149,6 +149,88 @@
 	})
 }
 
+// Guards against the use of a load of spoilt chunks whose agent ended before it had read the
+// staged chunks back: the agent that started in its place took the load for proven.
+func TestAgentEndsBeforeItsLoadIsProven(t *testing.T) {
+	// serverWithLoad returns a server that has loaded version 1 on the order of an agent that
+	// has ended; spoilt is the number of a chunk that was wrong, or -1.
+	serverWithLoad := func(spoilt int) *fakeServer {
+		server := newFakeServer()
+		for i := range chunkCount {
+			server.staged[i] = chunkOf(1, i)
+		}
+		if spoilt >= 0 {
+			server.spoil(spoilt)
+		}
+		_ = server.accept(1, 0)
+		return server
+	}
+	orders := func(server *fakeServer) int64 {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return server.acceptedOrders
+	}
+
+	Convey("A load of a spoilt chunk is repeated by the next agent", t, func() {
+		f := newFixtureWith(t, serverWithLoad(3), fakeOrigin{}, 0)
+		f.declare(1)
+		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
+		So(f.publishedWrong(), ShouldBeEmpty)
+	})
+
+	Convey("A load of the right chunks is used without another order", t, func() {
+		f := newFixtureWith(t, serverWithLoad(-1), fakeOrigin{}, 0)
+		f.declare(1)
+		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
+		So(orders(f.server), ShouldEqual, 1)
+	})
+
+	Convey("A proven load is used although a staged chunk has turned bad since", t, func() {
+		server := serverWithLoad(-1)
+		server.spoil(2)
+		f := newFixtureWith(t, server, fakeOrigin{}, 0)
+		f.loader.ConfirmLoad(ProvenLoad{StartUnixMs: 1, AcceptedOrders: 1, Weights: map[string]int{model: 1}})
+		f.declare(1)
+		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
+		So(orders(f.server), ShouldEqual, 1)
+	})
+
+	Convey("What an agent has proven is published with the state", t, func() {
+		f := newFixture(t)
+		f.declare(1)
+		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		So(f.published.Proven, ShouldResemble, &ProvenLoad{StartUnixMs: 1, AcceptedOrders: 1, Weights: map[string]int{model: 1}})
+	})
+
+	Convey("No chunk is staged while the server holds wrong chunks, or the next agent would take them for right", t, func() {
+		for _, declared := range []int{1, 2} {
+			server := serverWithLoad(3)
+			var stagedBeside atomic.Int64
+			server.onStage = func(int, []byte) {
+				for _, version := range []int{1, 2} {
+					if server.holds(version) && !server.holdsExactly(version) {
+						stagedBeside.Add(1)
+					}
+				}
+			}
+			f := newFixtureWith(t, server, fakeOrigin{}, 0)
+			f.declare(declared)
+			So(wait.Until(func() bool { return f.serves(declared) }), ShouldBeTrue)
+			So(stagedBeside.Load(), ShouldEqual, 0)
+		}
+	})
+
+	Convey("The version that the server holds may be declared later than the agent starts", t, func() {
+		server := serverWithLoad(-1)
+		f := newFixtureWith(t, server, fakeOrigin{}, 0)
+		time.AfterFunc(100*time.Millisecond, func() { f.declare(1) })
+		So(wait.Until(func() bool { return f.serves(1) }), ShouldBeTrue)
+		So(orders(server), ShouldEqual, 1)
+	})
+}
+
 // Guards against each way in which a load is taken as proven without evidence.
 func TestLoadProof(t *testing.T) {
 	report := func(boot, orders int64, version int, busy bool) Report {
@@ -159,11 +241,38 @@
 		return r
 	}
 
-	Convey("What the server holds when the agent starts is usable, unless a load is in progress", t, func() {
+	Convey("What the server holds when the agent starts is usable if the server has accepted no order", t, func() {
 		p := newLoadProof()
-		p.observe(report(1, 3, 1, false))
-		So(p.usable(report(1, 3, 1, false)), ShouldBeTrue)
+		p.observe(report(1, 0, 1, false))
+		So(p.usable(report(1, 0, 1, false)), ShouldBeTrue)
 		p = newLoadProof()
+		p.observe(report(1, 3, 1, false))
+		So(p.usable(report(1, 3, 1, false)), ShouldBeFalse)
+		So(p.objection(report(1, 3, 1, false)), ShouldBeEmpty)
+	})
+
+	Convey("What an earlier agent has proven is usable, for the same start of the server, orders and version", t, func() {
+		for _, c := range []struct {
+			proven ProvenLoad
+			usable bool
+		}{
+			{ProvenLoad{StartUnixMs: 1, AcceptedOrders: 3, Weights: map[string]int{model: 2}}, true},
+			{ProvenLoad{StartUnixMs: 1, AcceptedOrders: 2, Weights: map[string]int{model: 2}}, false},
+			{ProvenLoad{StartUnixMs: 2, AcceptedOrders: 3, Weights: map[string]int{model: 2}}, false},
+			{ProvenLoad{StartUnixMs: 1, AcceptedOrders: 3, Weights: map[string]int{model: 1}}, false},
+		} {
+			p := newLoadProof()
+			p.observe(report(1, 3, 2, false))
+			p.disprove(report(1, 3, 2, false))
+			p.confirm(c.proven)
+			p.confirm(ProvenLoad{StartUnixMs: 1, AcceptedOrders: 1, Weights: map[string]int{model: 1}})
+			p.observe(report(1, 3, 2, false))
+			So(p.usable(report(1, 3, 2, false)), ShouldEqual, c.usable)
+		}
+	})
+
+	Convey("A load that is in progress when the agent starts is not usable", t, func() {
+		p := newLoadProof()
 		p.observe(report(1, 3, 1, true))
 		So(p.usable(report(1, 3, 1, true)), ShouldBeFalse)
 		p.observe(report(1, 3, 2, false))
--- a/version/loading/report.go
+++ b/version/loading/report.go
@@ -16,15 +16,18 @@
 	l.hasReport, l.reportedAt, l.serverStartUnixMs = true, l.cfg.Clock.Now(), r.StartUnixMs
 	last := l.state
 	l.proof.observe(r)
-	usable := l.proof.usable(r)
+	usable, proven := l.proof.usable(r), last.Proven
+	if usable {
+		proven = l.proof.load(r)
+	}
 	l.mu.Unlock()
 	if restarted || usable && !maps.Equal(last.Weights, r.Weights) {
 		l.cfg.Log.Event(eventServerChanged, eventlog.Fields{"weights": r.Weights, "startedAnew": restarted, "orders": r.AcceptedOrderCount})
 	}
 	if usable {
-		l.publish(ServerState{Weights: r.Weights, Loading: last.Loading && r.Busy, Pace: paceToPublish(last.Pace, r.Pace)})
+		l.publish(ServerState{Weights: r.Weights, Loading: last.Loading && r.Busy, Pace: paceToPublish(last.Pace, r.Pace), Proven: proven})
 	} else {
-		l.publish(ServerState{Weights: last.Weights, Loading: true, Pace: paceToPublish(last.Pace, r.Pace)})
+		l.publish(ServerState{Weights: last.Weights, Loading: true, Pace: paceToPublish(last.Pace, r.Pace), Proven: proven})
 	}
 	return usable
 }
@@ -32,7 +35,7 @@
 // publish stores the state s and, if it has changed, calls Config.Publish.
 func (l *Loader) publish(s ServerState) {
 	l.mu.Lock()
-	same := maps.Equal(l.state.Weights, s.Weights) && l.state.Loading == s.Loading && l.state.Pace == s.Pace
+	same := maps.Equal(l.state.Weights, s.Weights) && l.state.Loading == s.Loading && l.state.Pace == s.Pace && l.state.Proven.equal(s.Proven)
 	l.state = s
 	l.mu.Unlock()
 	if !same {
--- a/version/loading/rollingupdate.go
+++ b/version/loading/rollingupdate.go
@@ -86,6 +86,14 @@
 	return false
 }
 
+// newest returns the number of the newest version; 0 if there is none.
+func (d declaredVersions) newest() int {
+	if len(d) == 0 {
+		return 0
+	}
+	return d[len(d)-1].Version
+}
+
 // newerThan returns the versions that are newer than version. If version is 0,
 // which means that the server holds no version, newerThan returns only the newest
 // version.
