Servers that left while only this process was cut off from the store are removed in time

Cause: one failed call of this process counted as an outage of the store, and entries that were deleted meanwhile counted as missing for 2 s after its return. Entries of live servers lapse only after three heartbeats without a write, so that the store must be away for two heartbeats at least.

Change: entries count as missing only if there was a time of two heartbeats or more in which the store responded to nobody, by this process's own calls and by what the other entry instances report with their heartbeats. A report that closes the gap ends the grace. A call for changes that is overdue is repeated on a new connection, calls for the table of servers wait for 1.5 s instead of 2.2 s, and during an outage the next call begins 0.9 s after the last at the latest, so that a process of which nobody else reports has its table again within 1 s and its grace over within 3 s.

--- a/connection/exchange/readers.go
+++ b/connection/exchange/readers.go
@@ -41,6 +41,16 @@
 	return ages
 }
 
+// storeContact returns when the store has responded to this entry instance; nil if it does not
+// read the table of backend servers itself.
+func (x *Exchange) storeContact(now time.Time) *frame.StoreContact {
+	from, until, ok := x.cfg.ServersFollower.Contact()
+	if !ok {
+		return nil
+	}
+	return &frame.StoreContact{FromAgeMs: now.Sub(from).Milliseconds(), UntilAgeMs: now.Sub(until).Milliseconds()}
+}
+
 // recordReads records what a peer of this data centre reported. agesMs is nil in a
 // report that is no heartbeat.
 func (x *Exchange) recordReads(peer string, agesMs map[catalog.Table]int64) {
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -114,6 +114,10 @@
 	} else if r.dataCentre == x.cfg.Self.DataCentre {
 		x.recordReads(r.source, update.ReadAgesMs)
 	}
+	if c := update.StoreContact; c != nil {
+		now := x.cfg.Clock.Now()
+		x.cfg.ServersFollower.ObserveContact(r.source, now.Add(-time.Duration(c.FromAgeMs)*time.Millisecond), now.Add(-time.Duration(c.UntilAgeMs)*time.Millisecond))
+	}
 	x.applyAges(update.DeclaredVersions)
 	if err := x.cfg.Evidence.MergeEvidence(update.Evidence, r.dataCentre == x.cfg.Self.DataCentre); err != nil {
 		x.cfg.Log.EventWithError(eventEvidenceRejected, err, eventlog.Fields{"peer": r.source})
--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -105,6 +105,7 @@
 	update.RunningByServer = changedCounts(s.sentRunning, running)
 	if heartbeatDue := now.Sub(s.lastHeartbeat) >= heartbeatInterval; heartbeatDue {
 		update.DeclaredVersions, update.ReadAgesMs = x.recentVersions(now), x.readAges(now)
+		update.StoreContact = x.storeContact(now)
 		s.lastHeartbeat = now
 	} else if len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents) == 0 && update.Evidence.Empty() {
 		return nil
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -81,6 +81,19 @@
 	// ServersRevision belong.
 	DeclaredEra uint64 `cbor:"12,keyasint,omitempty"`
 	ServersEra  uint64 `cbor:"13,keyasint,omitempty"`
+	// StoreContact is when the store has responded to the sender, which reads the table of
+	// backend servers; nil if it does not read it or the store does not respond. It is only
+	// sent with heartbeats.
+	StoreContact *StoreContact `cbor:"14,keyasint,omitempty"`
+}
+
+// StoreContact is a period in which the store responded to an entry instance, with no pause in
+// which the rows of live backend servers could lapse.
+type StoreContact struct {
+	// FromAgeMs and UntilAgeMs are the times since the first and the last response, in
+	// milliseconds.
+	FromAgeMs  int64 `cbor:"1,keyasint"`
+	UntilAgeMs int64 `cbor:"2,keyasint"`
 }
 
 // Evidence is what entry instances have observed at backend servers.
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -116,6 +116,7 @@
 	e.clientConns.crowd.maxConns = connLimit(memoryBytes(&s), int(s.Limits.MaxFDs))
 	e.declaredFollower = catalog.NewFollower(catalog.TableDeclared, e.store, e.catalogHolder, log, clock)
 	e.serversFollower = catalog.NewFollower(catalog.TableServers, e.store, e.catalogHolder, log, clock)
+	e.serversFollower.SetServerHeartbeat(time.Duration(s.ServerHeartbeatMs * float64(time.Millisecond)))
 	e.scheduler = dispatch.NewScheduler(dispatch.Config{
 		DataCentre: s.DataCentre, Regions: s.Regions,
 		RetryLimits: dispatch.RetryLimits{
--- a/version/catalog/era_test.go
+++ b/version/catalog/era_test.go
@@ -30,6 +30,8 @@
 	cut bool
 	// silent makes ChangesSince calls that start now get no response.
 	silent bool
+	// lostCalls counts how often the calls in flight have lost their connections.
+	lostCalls int
 	// callCount is the number of ChangesSince calls.
 	callCount int
 	// listCount is the number of List calls that were answered.
@@ -86,6 +88,9 @@
 	})
 }
 
+// loseConnections makes the calls in flight get no response.
+func (s *restorableStore) loseConnections() { s.change(func() { s.lostCalls++ }) }
+
 func (s *restorableStore) setCut(cut bool) { s.change(func() { s.cut = cut }) }
 
 func (s *restorableStore) List(context.Context, Table) ([]Row, Position, error) {
@@ -104,20 +109,24 @@
 
 func (s *restorableStore) ChangesSince(ctx context.Context, _ Table, since uint64, maxWait time.Duration) ([]Row, Position, error) {
 	s.mu.Lock()
-	silent := s.silent
+	silent, lostCalls := s.silent, s.lostCalls
 	s.callCount++
 	s.mu.Unlock()
-	if silent {
+	begunAt := time.Now()
+	noResponse := func() ([]Row, Position, error) {
 		select {
-		case <-time.After(maxWait + time.Second):
+		case <-time.After(maxWait + time.Second - time.Since(begunAt)):
 		case <-ctx.Done():
 		}
 		return nil, Position{}, errDown
 	}
+	if silent {
+		return noResponse()
+	}
 	timeout := time.After(maxWait)
 	for timedOut := false; ; {
 		s.mu.Lock()
-		position, changed, cut := s.position, s.changed, s.cut
+		position, changed, cut, lost := s.position, s.changed, s.cut, s.lostCalls > lostCalls
 		var rows []Row
 		for _, r := range s.history {
 			if r.Revision > since {
@@ -126,6 +135,8 @@
 		}
 		s.mu.Unlock()
 		switch {
+		case lost:
+			return noResponse()
 		case cut:
 			return nil, Position{}, errDown
 		case since > position.Revision:
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// longPollTimeout is the longest time that one ChangesSince call waits for
-	// a change. A dead connection is noticed only after longPollTimeout and a
-	// margin, together less than the 3 s after which a process counts as in touch
-	// again; a shorter timeout would put more load on the store.
-	longPollTimeout = 2200 * time.Millisecond
 	// The Follower pauses after each response, so that changes made close
 	// together arrive in one response. declarationsBatchDelay is the pause for the
 	// table of declarations, which must take effect within 2 s.
@@ -67,8 +62,12 @@
 	restoredAt time.Time
 	// outage is how long the outage lasted that ended at restoredAt; 0 if that is not known.
 	outage time.Duration
-	// contacts are the last responses of the store, here or at a peer.
-	contacts storeContacts
+	// contacts are the last responses of the store, here or at a peer, and callBegunAt is the
+	// begin of the call to which it responds next. serverHeartbeat is the time between two
+	// writes of a live server.
+	contacts        storeContacts
+	callBegunAt     time.Time
+	serverHeartbeat time.Duration
 	// missingRows holds the rows that disappeared during an outage or shortly after it.
 	// What they describe stays in the catalogue until missingGracePeriod has passed.
 	missingRows map[string]Row
@@ -101,8 +100,8 @@
 	return &Follower{
 		table: t, source: source, holder: holder, log: log, clock: clock,
 		rows: map[string]Row{}, missingRows: map[string]Row{}, heldBack: map[string]Row{}, gone: map[string]goneServer{},
-		lastResponseAt: clock.Now(),
-		pollNow:        make(chan struct{}, 1), retryNow: make(chan struct{}, 1),
+		lastResponseAt: clock.Now(), serverHeartbeat: defaultServerHeartbeat,
+		pollNow: make(chan struct{}, 1), retryNow: make(chan struct{}, 1),
 	}
 }
 
@@ -156,10 +155,11 @@
 // readRevision, or the complete table when readRevision is 0.
 func (f *Follower) pollOnce(ctx context.Context) error {
 	since := f.lastRead()
+	f.beginCall()
 	if since.Revision == 0 {
 		return f.readTable(ctx)
 	}
-	rows, position, err := f.source.ChangesSince(ctx, f.table, since.Revision, f.pollTimeout())
+	rows, position, err := f.changesSince(ctx, since.Revision)
 	if err != nil {
 		return err
 	}
@@ -204,21 +204,6 @@
 	return newest
 }
 
-// pollTimeout returns the longest time that the next ChangesSince call may wait
-// for a change. During an outage this is minRetryDelay. While servers are
-// missing, the call waits no longer than the rest of their grace period.
-func (f *Follower) pollTimeout() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.unavailable {
-		return minRetryDelay
-	}
-	if f.awaitsGraceEnd() {
-		return min(longPollTimeout, f.remainingGrace(f.clock.Now()))
-	}
-	return longPollTimeout
-}
-
 // remainingGrace returns the time until missing servers are removed, rounded up to
 // milliseconds, the unit of the timeout in calls to the store. The caller must hold
 // f.mu.
@@ -255,14 +240,19 @@
 	if f.unavailable {
 		f.unavailable = false
 		if f.table == TableServers {
-			f.restoredAt, f.outage = now, now.Sub(f.contacts.last(f.lastResponseAt))
+			f.restoredAt, f.outage = now, now.Sub(f.lastResponseAt)
 		}
 		f.log.Event(eventStoreAvailable, eventlog.Fields{
 			"table": f.table.Name(), "outMs": now.Sub(f.lastResponseAt).Milliseconds(),
 		})
 	}
 	f.lastResponseAt = now
-	f.contacts.add(now)
+	begunAt := f.callBegunAt
+	if begunAt.IsZero() {
+		begunAt = now
+	}
+	f.contacts.addOwn(begunAt, now, f.lapseTime())
+	f.callBegunAt = time.Time{}
 }
 
 // markUnavailable records that a call failed, and logs the start of an outage.
--- a/version/catalog/restored.go
+++ b/version/catalog/restored.go
@@ -125,9 +125,19 @@
 // inGracePeriod reports whether a row may be missing only because of an outage of the
 // store: the store is unavailable, became available again less than missingGracePeriod
 // ago, or has come back from a copy since then. Only the last is true of tables other
-// than TableServers: their rows do not lapse. The caller must hold f.mu.
+// than TableServers: their rows do not lapse. An outage of this process alone, or one that
+// was too short for rows to lapse, is no reason. The caller must hold f.mu.
 func (f *Follower) inGracePeriod(now time.Time) bool {
-	return f.table == TableServers && f.unavailable || !f.restoredAt.IsZero() && now.Sub(f.restoredAt) < missingGracePeriod
+	if f.table == TableServers && f.unavailable {
+		return f.contacts.mayHaveBeenAway(f.lastResponseAt, now, f.lapseTime())
+	}
+	return !f.restoredAt.IsZero() && now.Sub(f.restoredAt) < missingGracePeriod && f.mayHaveLapsed(f.restoredAt, f.outage)
+}
+
+// mayHaveLapsed reports whether rows of live servers may have lapsed in an outage that ended at
+// end; 0 is the length of one that is not known. The caller must hold f.mu.
+func (f *Follower) mayHaveLapsed(end time.Time, outage time.Duration) bool {
+	return outage == 0 || f.contacts.mayHaveBeenAway(end.Add(-outage), end, f.lapseTime())
 }
 
 // recordMissingRow records a row that is gone, and what it describes stays in the
--- a/version/catalog/retry.go
+++ b/version/catalog/retry.go
@@ -11,6 +11,8 @@
 	// after a failed call, before jitter.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 600 * time.Millisecond
+	// minRetryPause is the shortest pause after a call that failed late.
+	minRetryPause = 50 * time.Millisecond
 	// minRetryNowInterval is the shortest time between two retries out of turn. A slow
 	// store needs up to half a second for a response.
 	minRetryNowInterval = time.Second
@@ -52,10 +54,16 @@
 	f.cancelCall = cancel
 }
 
-// pauseBeforeRetry waits for delay with jitter, for RetryNow, or until ctx ends.
+// pauseBeforeRetry waits for delay with jitter, counted from the begin of the failed call, for
+// RetryNow, or until ctx ends. It waits for at least minRetryPause. An outage ends at some time
+// between the begins of two calls, and the longer that is, the longer servers that have left are
+// taken for missing.
 func (f *Follower) pauseBeforeRetry(ctx context.Context, delay time.Duration) {
+	f.mu.Lock()
+	elapsed := f.clock.Since(f.callBegunAt)
+	f.mu.Unlock()
 	select {
-	case <-f.clock.After(delay/2 + rand.N(delay)):
+	case <-f.clock.After(max(minRetryPause, delay/2+rand.N(delay)-elapsed)):
 	case <-f.retryNow:
 	case <-ctx.Done():
 	}
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -33,43 +33,6 @@
 	OutMs int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// maxContacts is the number of the last responses of the store that a Follower remembers.
-const maxContacts = 16
-
-// storeContacts holds when the store last responded to this process or to a peer whose
-// changes arrived here, oldest first.
-type storeContacts []time.Time
-
-// add records a response at time t.
-func (c *storeContacts) add(t time.Time) {
-	if len(*c) == maxContacts {
-		*c = append((*c)[:0], (*c)[1:]...)
-	}
-	*c = append(*c, t)
-}
-
-// last returns the time of the last response, or otherwise if there is none.
-func (c storeContacts) last(otherwise time.Time) time.Time {
-	if len(c) == 0 {
-		return otherwise
-	}
-	return c[len(c)-1]
-}
-
-// contactMargin is the age that a response may have when it is recorded.
-const contactMargin = 200 * time.Millisecond
-
-// during reports whether the store responded within an outage that a peer saw, which lasted
-// for d and ended at end. Only the peer was cut off from the store then.
-func (c storeContacts) during(end time.Time, d time.Duration) bool {
-	for _, t := range c {
-		if t.After(end.Add(contactMargin-d)) && t.Before(end) {
-			return true
-		}
-	}
-	return false
-}
-
 // Share makes the Follower rely on peers. While readByPeer returns true, the Follower
 // does not read the store, but waits for the changes that ApplyFromPeer delivers.
 // onRead is called with all changes that the Follower reads from the store itself.
@@ -131,7 +94,7 @@
 }
 
 // ApplyFromPeer applies changes that a peer has read from the store. The grace period after
-// an outage holds here too, unless the store responded here meanwhile. If changes
+// an outage holds here too, unless the store responded to others meanwhile. If changes
 // before them are missing here, or if they are of a newer era of the store, it applies
 // nothing and makes the Follower read the store. It also does that if they name no era,
 // because they come from an earlier build. Changes of an older era are ignored.
@@ -149,9 +112,10 @@
 	now := f.clock.Now()
 	restoredAt := now.Add(time.Duration(c.GraceMs)*time.Millisecond - missingGracePeriod)
 	if c.GraceMs == 0 {
-		f.contacts.add(now)
-	} else if restoredAt.After(f.restoredAt) && !f.contacts.during(restoredAt, time.Duration(c.OutMs)*time.Millisecond) {
-		f.restoredAt, f.outage = restoredAt, time.Duration(c.OutMs)*time.Millisecond
+		f.contacts.addChange(now)
+	} else if outage := time.Duration(c.OutMs) * time.Millisecond; restoredAt.After(f.restoredAt) &&
+		!f.contacts.during(restoredAt, outage) && f.mayHaveLapsed(restoredAt, outage) {
+		f.restoredAt, f.outage = restoredAt, outage
 	}
 	f.applyRowsLocked(c.Rows, c.Until)
 	f.sharedUntil = max(f.sharedUntil, c.Until)
--- a/version/catalog/source.go
+++ b/version/catalog/source.go
@@ -54,7 +54,8 @@
 	List(ctx context.Context, t Table) ([]Row, Position, error)
 	// ChangesSince returns the rows of a table that changed after the revision
 	// since, oldest change first, and the store's position. It returns as soon
-	// as there is a change, or without rows after maxWait. It returns
+	// as there is a change, or without rows after maxWait; a call with a maxWait of 0 uses
+	// a new connection. It returns
 	// ErrHistoryLost when the changes are no longer available. The store knows
 	// since as a number of its present era, whichever era the caller means.
 	ChangesSince(ctx context.Context, t Table, since uint64, maxWait time.Duration) ([]Row, Position, error)
