An entry instance uses no version of which only the server list tells

The agent knew that the load was not proven and said so, but had not connected yet.

Cause: without a report of a server's agent, exclusionByWeights took the version in the list for one that may be used. The list tells what a server has loaded, not whether that is right.

Change: a version needs the report of the server's agent, or a proof of that version and that start of the server, whoever passes it on. Entry instances report proofs to each other as evidence: all at the begin of a connection, new ones of their agents later. In the first second after its start an entry instance lets requests wait for such a server as for a full one.

--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -105,10 +105,22 @@
 	// Shortages are the priorities whose requests were short of slots; they are sent for
 	// services with several priorities, at most every 250 ms each.
 	Shortages []Shortage `cbor:"3,keyasint,omitempty"`
+	// ProvenLoads are the last proven loads of servers, which their agents have reported.
+	ProvenLoads []ServerLoad `cbor:"4,keyasint,omitempty"`
 }
 
 // Empty reports whether there is no evidence.
-func (e Evidence) Empty() bool { return len(e.SuspectParts)+len(e.RequestLimits)+len(e.Shortages) == 0 }
+func (e Evidence) Empty() bool {
+	return len(e.SuspectParts)+len(e.RequestLimits)+len(e.Shortages)+len(e.ProvenLoads) == 0
+}
+
+// ServerLoad is the last proven load of a backend server.
+type ServerLoad struct {
+	// ServerAddr is the server's address.
+	ServerAddr string `cbor:"1,keyasint"`
+	// Load is the load.
+	Load ProvenLoad `cbor:"2,keyasint"`
+}
 
 // RequestLimit is the limit of requests per second that a backend server named in a
 // response, for all entry instances together.
--- a/request/dispatch/agentreport.go
+++ b/request/dispatch/agentreport.go
@@ -31,6 +31,6 @@
 		loadingSince = s.clock.Now()
 	}
 	s.agents[addr] = agentReport{*state, loadingSince, s.clock.Now()}
-	s.provenLoads.record(addr, state.Proven)
+	s.provenLoads.record(addr, state.Proven, observedHere, s.changes)
 	s.assignWaiting()
 }
--- a/request/dispatch/copy.go
+++ b/request/dispatch/copy.go
@@ -20,7 +20,8 @@
 	c.peers = s.peers.clone()
 	c.quarantine.parts = cloneValues(s.quarantine.parts, (*suspectPart).clone)
 	c.quarantine.reassessDue, c.quarantine.expiredAt = s.quarantine.reassessDue, s.quarantine.expiredAt
-	c.agents, c.provenLoads, c.shortAt = maps.Clone(s.agents), maps.Clone(s.provenLoads), maps.Clone(s.shortAt)
+	c.agents, c.shortAt = maps.Clone(s.agents), maps.Clone(s.shortAt)
+	c.provenLoads, c.startedAt = cloneValues(s.provenLoads, (*provenLoad).clone), s.startedAt
 	for _, w := range s.waiting {
 		c.waiting = append(c.waiting, w.clone())
 	}
--- a/request/dispatch/datacentrefleet_test.go
+++ b/request/dispatch/datacentrefleet_test.go
@@ -164,6 +164,7 @@
 			DataCentre: centreNames[i%len(centreNames)], Regions: regions,
 			RetryLimits: RetryLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, MaxWaitShare: 0.1,
 		}, f.holder, f.clock)
+		proveListed(s)
 		s.choiceCount = f.rng.IntN(len(f.servers))
 		if f.policy == perfectKnowledge {
 			s.SetEntryInstances(1, 0)
--- a/request/dispatch/demand_test.go
+++ b/request/dispatch/demand_test.go
@@ -54,6 +54,7 @@
 	f.setServers(server)
 	for i := range count {
 		s := NewScheduler(f.scheduler.cfg, f.holder, f.clock)
+		proveListed(s)
 		s.SetEntryInstances(count, i)
 		f.all = append(f.all, s)
 	}
@@ -183,6 +184,7 @@
 		var all []*Scheduler
 		for i := range 59 {
 			s := NewScheduler(f.scheduler.cfg, f.holder, f.clock)
+			proveListed(s)
 			s.SetEntryInstances(59, i)
 			for peer := range 11 {
 				s.UpdatePeerLoads(fmt.Sprint(peer), exchange.LoadReport{InstanceCount: 1})
--- a/request/dispatch/evidence.go
+++ b/request/dispatch/evidence.go
@@ -61,7 +61,7 @@
 	now := s.clock.Now()
 	return frame.Evidence{
 		SuspectParts: s.quarantine.changedSince(since, scope, now), RequestLimits: s.changedLimits(since, scope, now),
-		Shortages: s.changedShortages(since, scope, now),
+		Shortages: s.changedShortages(since, scope, now), ProvenLoads: s.provenLoads.changedSince(since, scope),
 	}, s.changes.count
 }
 
@@ -82,5 +82,6 @@
 	goesOn := func(boot string, endedAt time.Time) bool { return lastResponses[boot].After(endedAt) }
 	quarantined, released, errParts := s.quarantine.merge(e.SuspectParts, o, goesOn, now)
 	s.applyVerdict(quarantined, released)
-	return errors.Join(errParts, s.mergeLimits(e.RequestLimits, o, now), s.mergeShortages(e.Shortages, o, now))
+	return errors.Join(errParts, s.mergeLimits(e.RequestLimits, o, now), s.mergeShortages(e.Shortages, o, now),
+		s.mergeProvenLoads(e.ProvenLoads, o))
 }
--- a/request/dispatch/exclusion.go
+++ b/request/dispatch/exclusion.go
@@ -25,14 +25,15 @@
 	AccountRegion
 	// LoadingWeights means that the server's agent loads weights there.
 	LoadingWeights
-	// LoadUnproven means that nobody has proven that the server loaded the right weights.
-	LoadUnproven
 	// NoWeights means that the server holds no weights of the model, WeightsOutdated that it
 	// holds a version that may not be used any more, and OtherVersion that the request needs
 	// another version.
 	NoWeights
 	WeightsOutdated
 	OtherVersion
+	// LoadUnproven means that the server's agent is not connected, and that no agent is known
+	// to have proven that the server loaded the right weights.
+	LoadUnproven
 	// Backoff means that attempts there have failed or were refused just before.
 	Backoff
 	// ServerStalled means that the server has sent nothing for too long while it runs requests
@@ -60,7 +61,7 @@
 
 var exclusionTexts = [...]string{
 	"", "leaving", "data centre out", "already tried", "region not allowed by the route", "region not allowed by the client account",
-	"loading weights", "load not proven", "no weights", "weights outdated", "other weights", "backoff", "stalled", "unheard since a stall",
+	"loading weights", "no weights", "weights outdated", "other weights", "load not proven", "backoff", "stalled", "unheard since a stall",
 	"over the limit that it names", "paused", "over the cold limit", "full", "reserved", "deferred",
 }
 
@@ -109,15 +110,14 @@
 	if req.Model == "" {
 		return 0, NotExcluded
 	}
-	version, proven, known := s.provenLoads.version(server, req.Model)
+	version, proven := s.provenLoads.version(server, req.Model)
 	if agent, ok := s.agents[server.Addr]; ok {
 		// The report of the server's own agent is newer than the server list.
 		version = agent.state.LoadedVersions[req.Model]
 		if agent.state.Loading {
 			return version, LoadingWeights
 		}
-	} else if known && !proven {
-		return version, LoadUnproven
+		proven = true
 	}
 	switch {
 	case version == 0:
@@ -126,6 +126,8 @@
 		return version, OtherVersion
 	case version < s.minVersion(req, snapshot, now):
 		return version, WeightsOutdated
+	case !proven:
+		return version, LoadUnproven
 	}
 	return version, NotExcluded
 }
--- a/request/dispatch/explain_test.go
+++ b/request/dispatch/explain_test.go
@@ -140,6 +140,7 @@
 		{"no weights anywhere", arranged(newAlignedFixture, func(f *schedulerFixture) { f.setServers(f.server("a", "palermo")) }),
 			withRequest(func(r *Request) { r.Model = "spices" }), NoWeights, Refuses},
 		{"loading weights", after(func(s *Scheduler, a *catalog.Server) { s.SetAgentState(a.Addr, &frame.AgentState{Loading: true}) }), plain, LoadingWeights, Sends},
+		{"load not proven", after(func(s *Scheduler, a *catalog.Server) { delete(s.provenLoads, a.Addr) }), plain, LoadUnproven, Sends},
 		{"another version needed", newAlignedFixture, withRequest(func(r *Request) { r.Version = 7 }), OtherVersion, Refuses},
 		{"region not allowed by the route", newAlignedFixture, withRequest(func(r *Request) { r.RouteRegions = []string{"east"} }), RouteRegion, Sends},
 		{"region not allowed by the account", newAlignedFixture, withRequest(func(r *Request) { r.AccountRegions = []string{"east"} }), AccountRegion, Sends},
--- a/request/dispatch/requestlimit_test.go
+++ b/request/dispatch/requestlimit_test.go
@@ -100,6 +100,7 @@
 		f.setServers(f.server("a", "palermo"))
 		f.scheduler.SetEntryInstances(2, 0)
 		other := NewScheduler(f.scheduler.cfg, f.holder, f.clock)
+		proveListed(other)
 		server := f.holder.Current().Servers["a"]
 		other.RecordLimit(server, 2, true)
 		report, _ := other.Evidence(0, exchange.ObservedHere)
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -77,6 +77,7 @@
 	quarantine   *PartQuarantine
 	agents       map[string]agentReport // by server address
 	provenLoads  provenLoads
+	startedAt    time.Time
 	retryBudgets map[string]*RetryBudget // by service name
 	// shortAt holds when all servers were last full for a request, by service name.
 	shortAt map[string]time.Time
@@ -184,7 +185,7 @@
 	return &Scheduler{
 		cfg: cfg, changes: changes, quarantine: NewPartQuarantine(changes), holder: holder, clock: clock,
 		servers: map[string]*serverState{}, notices: newServerNotices(), peers: newPeerLoads(),
-		agents: map[string]agentReport{}, provenLoads: provenLoads{}, retryBudgets: map[string]*RetryBudget{},
+		agents: map[string]agentReport{}, provenLoads: provenLoads{}, startedAt: clock.Now(), retryBudgets: map[string]*RetryBudget{},
 		shortAt: map[string]time.Time{}, pendingBegins: map[*PendingBegin]bool{},
 		times:        newServerTimes(cfg.Metrics),
 		urgencyStats: newUrgencyStats(cfg.Metrics),
@@ -363,8 +364,8 @@
 		if !s.allowed(server, req, snapshot) {
 			continue
 		}
-		version, ok := s.usableVersion(server, req, snapshot, now)
-		if !ok {
+		version, lacks := s.exclusionByWeights(server, req, snapshot, now)
+		if lacks != NotExcluded && !s.awaitsProof(lacks, now) {
 			continue
 		}
 		st, limit := s.stateOf(server.ID), maxRequestsAt(server)
@@ -379,7 +380,10 @@
 		}
 		s.estimateAt(&c, st, req, engine, now)
 		c.Deferred = !s.burstAllows(st, server, req, version, limit-c.Slot.RunningCount, now)
-		if c.Excluded = s.exclusionByState(&c, st, req, service, now); c.Excluded != NotExcluded {
+		if c.Excluded = lacks; lacks == NotExcluded {
+			c.Excluded = s.exclusionByState(&c, st, req, service, now)
+		}
+		if c.Excluded != NotExcluded {
 			c.Limit = 0
 		}
 		all = append(all, c)
--- a/request/dispatch/scheduler_test.go
+++ b/request/dispatch/scheduler_test.go
@@ -36,9 +36,27 @@
 		DataCentre: "palermo", Regions: map[string]string{"palermo": "west", "catania": "east"},
 		RetryLimits: RetryLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, WeightsDueAfter: 7 * time.Second, MaxWaitShare: 0.1,
 	}, f.holder, f.clock)
+	proveListed(f.scheduler)
 	return f
 }
 
+// proveListed makes the loads of the listed servers proven, as if their agents had been
+// connected. Nothing of it is reported to peers.
+func proveListed(s *Scheduler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.holder.Current().Servers {
+		orders := int64(0)
+		for _, version := range server.LoadedVersions {
+			orders = max(orders, int64(version))
+		}
+		load := frame.ProvenLoad{StartUnixMs: server.StartUnixMs, AcceptedOrders: orders, Versions: server.LoadedVersions}
+		if s.provenLoads.record(server.Addr, &load, observedFar, &changeCounter{}) {
+			s.provenLoads[server.Addr].changeMark = changeMark{}
+		}
+	}
+}
+
 // server returns a server with two slots and version 1 of the weights.
 func (f *schedulerFixture) server(id, dataCentre string) *catalog.Server {
 	return &catalog.Server{
@@ -53,6 +71,9 @@
 		all = append(all, catalog.Change{Server: s})
 	}
 	f.holder.Apply(all, true, true, f.clock.Now())
+	if f.scheduler != nil {
+		proveListed(f.scheduler)
+	}
 }
 
 // request returns a request without an objective. It may not wait for a slot.
@@ -147,6 +168,7 @@
 				cfg.DataCentre = "catania"
 			}
 			s := NewScheduler(cfg, f.holder, f.clock)
+			proveListed(s)
 			s.SetEntryInstances(perDataCentre*dataCentreCount, i)
 			for peer := range perDataCentre - 1 {
 				s.UpdatePeerLoads(fmt.Sprint("peer ", peer), exchange.LoadReport{InstanceCount: 1})
--- a/request/dispatch/timefleet_test.go
+++ b/request/dispatch/timefleet_test.go
@@ -113,6 +113,7 @@
 			DataCentre: "palermo", Regions: map[string]string{"palermo": "west"},
 			RetryLimits: RetryLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, MaxWaitShare: 0.1,
 		}, holder, f.clock)
+		proveListed(s)
 		s.SetEntryInstances(entryCount, i)
 		s.choiceCount = f.rng.IntN(serverCount)
 		f.entries = append(f.entries, s)
--- a/request/dispatch/urgency_test.go
+++ b/request/dispatch/urgency_test.go
@@ -356,6 +356,7 @@
 		cfg := f.scheduler.cfg
 		cfg.Metrics = registry
 		f.scheduler = NewScheduler(cfg, f.holder, f.clock)
+		proveListed(f.scheduler)
 		f.scheduler.UpdatePeerLoads("x", exchange.LoadReport{RunningByServer: map[string]int{"a": 9, "b": 9}})
 		for _, priority := range []int{0, 20, 20} {
 			w, _, err := f.scheduler.beginAcquire(f.urgentRequest(priority))
--- a/request/dispatch/urgencyfleet_test.go
+++ b/request/dispatch/urgencyfleet_test.go
@@ -129,6 +129,7 @@
 			DataCentre: "palermo", Regions: map[string]string{"palermo": "west"},
 			RetryLimits: RetryLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, MaxWaitShare: 0.11,
 		}, holder, f.clock)
+		proveListed(s)
 		s.SetEntryInstances(entryCount, i)
 		s.choiceCount = f.rng.IntN(serverCount)
 		f.entries = append(f.entries, s)
--- a/request/forward/outdated_test.go
+++ b/request/forward/outdated_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/rattanway/rattanway/connection/frame"
 	"github.com/rattanway/rattanway/request/dispatch"
 	"github.com/rattanway/rattanway/test/wait"
 	"github.com/rattanway/rattanway/version/catalog"
@@ -92,10 +93,13 @@
 
 // listModel lists server s with the given version of the model "m".
 func (f *handlerFixture) listModel(s *fakeServer, version int) {
+	addr, versions := s.listener.Addr().String(), map[string]int{"m": version}
 	f.holder.Apply([]catalog.Change{{Server: &catalog.Server{
-		ID: s.id, Service: "registry", Addr: s.listener.Addr().String(), DataCentre: "palermo", Slots: 4,
-		LoadedVersions: map[string]int{"m": version},
+		ID: s.id, Service: "registry", Addr: addr, DataCentre: "palermo", Slots: 4, LoadedVersions: versions,
 	}}}, false, true, time.Now())
+	// An agent has proven the load and disconnected.
+	f.scheduler.SetAgentState(addr, &frame.AgentState{Proven: &frame.ProvenLoad{AcceptedOrders: int64(version), Versions: versions}})
+	f.scheduler.SetAgentState(addr, nil)
 }
 
 // declareWeights declares a version of the model "m" that has the given age, and returns
