Changes of the store that entry instances share leave no gap after a late response

Change: the revision only rises.

TestLateResponseOfTheStore failed before: the next message followed revision 6 instead of 8, and the other instance listed "a b c d" where the store has "a! b c d".

--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -134,7 +134,8 @@
 		return
 	}
 	c := RowChanges{Rows: rows, Since: f.sharedUntil, Until: until.Revision, Era: f.era}
-	f.sharedUntil = until.Revision
+	// A peer may have sent later changes while this response was on its way.
+	f.sharedUntil = max(f.sharedUntil, until.Revision)
 	if now := f.clock.Now(); f.inGracePeriod(now) {
 		c.GraceMs, c.OutMs = f.remainingGrace(now).Milliseconds(), f.outage.Milliseconds()
 	}
--- a/version/catalog/sharing_test.go
+++ b/version/catalog/sharing_test.go
@@ -57,6 +57,33 @@
 	})
 }
 
+// Guards against a change that an entry instance never applies, because the one that reads the
+// store for it claimed that its changes follow an older revision than they do. The configuration
+// that it lacked stayed out of force there until the next one.
+func TestLateResponseOfTheStore(t *testing.T) {
+	Convey("A reader whose own response is older than what a peer has sent meanwhile", t, func() {
+		reader, source := newServersFollower(t)
+		var shared []RowChanges
+		reader.Share(func() bool { return false }, func(c RowChanges) { shared = append(shared, c) })
+		reader.ApplyFromPeer(RowChanges{Rows: []Row{newRow("c", "ready", 6), newRow("a", "leaving", 7)}, Since: 5, Until: 8})
+		pollAll(reader, source, response{rows: []Row{newRow("c", "ready", 6)}, rev: 6}, response{rows: []Row{newRow("d", "ready", 12)}, rev: 13})
+		So(shared, ShouldHaveLength, 2)
+
+		Convey("does not claim that its next changes follow its own response", func() {
+			So(shared[1].Since, ShouldBeGreaterThanOrEqualTo, 8)
+		})
+		Convey("leaves no gap at an instance that the peer's changes did not reach", func() {
+			other, otherSource := newServersFollower(t)
+			other.ApplyFromPeer(RowChanges{Rows: []Row{newRow("c", "ready", 6)}, Since: 5, Until: 6})
+			for _, c := range shared {
+				other.ApplyFromPeer(c)
+			}
+			got := pollAll(other, otherSource, response{rows: []Row{newRow("a", "leaving", 7), newRow("d", "ready", 12)}, rev: 13})
+			So(got, ShouldEqual, "a! b c d")
+		})
+	})
+}
+
 // TestGraceOfAPeerThatWasCutOff guards against requests to a server that has left: a peer that
 // was cut off from the store alone took its own return for that of the store, and told the
 // others to keep the servers whose rows were deleted.
