The regions of a request are those that are declared when it is given a slot

One cause that was found by reading: a request kept the regions that were declared when it arrived. Second attempts, hedges, slots after a wait and moves of streams come up to the route's timeout later and went by them, whatever had been declared since.

Change: the scheduler takes the regions of the request's route and client account from the newest configuration whenever it looks for a slot.

--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -107,6 +107,7 @@
 // that is otherwise allowed lacks only the weights. The caller holds s.mu.
 func (s *Scheduler) mayGetServer(req *Request) bool {
 	snapshot := s.holder.Current()
+	req.updateRegions(snapshot)
 	return req.MaxRetryWait > 0 && slices.ContainsFunc(snapshot.ServersOf(req.Service), func(server *catalog.Server) bool {
 		return s.allowed(server, req, snapshot)
 	})
@@ -136,6 +137,7 @@
 // requirementsOf returns the requirements of a request, and whether other requests can have
 // the same. The caller holds s.mu.
 func (s *Scheduler) requirementsOf(req *Request, now time.Time) (requirements, bool) {
+	req.updateRegions(s.holder.Current())
 	needs, shared := req.requirements()
 	needs.reserved = s.urgency.services[req.Service].reserved(req.Priority, now)
 	return needs, shared
--- a/request/dispatch/move.go
+++ b/request/dispatch/move.go
@@ -131,6 +131,7 @@
 // get the request. The caller holds s.mu.
 func (s *Scheduler) stillUsable(slot Slot, req *Request) bool {
 	snapshot := s.holder.Current()
+	req.updateRegions(snapshot)
 	server, listed := snapshot.Servers[slot.Server.ID]
 	if !listed || server.Boot() != slot.Server.Boot() || !s.allowed(server, req, snapshot) {
 		return false
--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -22,6 +22,10 @@
 	// account allow. A server may run the request if both lists allow the region of
 	// the server; an empty list allows all regions.
 	RouteRegions, AccountRegions []string
+	// Config is the configuration that declares these regions. When a newer one is in force,
+	// the regions of the route and of the client account there replace them; see
+	// updateRegions. If Config is nil, the regions do not change.
+	Config *catalog.Config
 	// WeightsUntil is the time until which the server's weights must not be outdated; the
 	// present time if it is zero.
 	WeightsUntil time.Time
@@ -55,6 +59,22 @@
 	OnlyServers map[string]bool
 }
 
+// updateRegions makes the regions of a request those that the newest configuration declares
+// for its route and its client account. A request may be tried again, move or begin long after
+// its arrival. What the configuration no longer contains keeps its regions.
+func (r *Request) updateRegions(snapshot *catalog.Snapshot) {
+	if r.Config == nil || r.Config == snapshot.Config {
+		return
+	}
+	r.Config = snapshot.Config
+	if route := snapshot.RouteNamed(r.Route); route != nil {
+		r.RouteRegions = route.Regions
+	}
+	if account := snapshot.AccountNamed(r.Account); account != nil {
+		r.AccountRegions = account.Regions
+	}
+}
+
 // requirements is what decides which servers can run a request.
 type requirements struct {
 	service, model, regions string
--- a/request/dispatch/scheduler.go
+++ b/request/dispatch/scheduler.go
@@ -356,6 +356,7 @@
 func (s *Scheduler) candidates(req *Request) []Candidate {
 	snapshot := s.holder.Current()
 	now := s.clock.Now()
+	req.updateRegions(snapshot)
 	s.peers.expire(now)
 	service := snapshot.Config.Services[req.Service]
 	listed, engine := snapshot.ServersOf(req.Service), s.times.engineOf(service)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -225,7 +225,7 @@
 	req := &c.dispatchReq
 	req.Service = c.chooseService()
 	req.Model = c.httpReq.Header.Get(c.cfg.Headers.Model)
-	req.Route, req.RouteRegions = c.route.Name, c.route.Regions
+	req.Route, req.RouteRegions, req.Config = c.route.Name, c.route.Regions, c.snapshot.Config
 	req.Priority = c.route.Priority
 	req.Work = c.estimateWork()
 	prompt, _, _ := strings.Cut(c.httpReq.Header.Get(c.cfg.Headers.Tokens), ",")
--- a/version/catalog/snapshot.go
+++ b/version/catalog/snapshot.go
@@ -25,7 +25,9 @@
 	Weights map[string]Weights
 
 	routesByHost     map[string][]*Route
+	routesByName     map[string]*Route
 	accountsByKey    map[string]*Account
+	accountsByName   map[string]*Account
 	serversByService map[string][]*Server
 }
 
@@ -52,11 +54,17 @@
 // none.
 func (s *Snapshot) Account(key string) *Account { return s.accountsByKey[key] }
 
+// RouteNamed returns the route with a name, or nil when there is none.
+func (s *Snapshot) RouteNamed(name string) *Route { return s.routesByName[name] }
+
+// AccountNamed returns the client account with a name, or nil when there is none.
+func (s *Snapshot) AccountNamed(name string) *Account { return s.accountsByName[name] }
+
 // ServersOf returns the servers of a service, ordered by ID.
 func (s *Snapshot) ServersOf(service string) []*Server { return s.serversByService[service] }
 
-// buildIndexes builds the lookup maps. It builds routesByHost and accountsByKey only
-// when routesByHost is nil, which means that the configuration has changed.
+// buildIndexes builds the lookup maps. It builds those of routes and accounts only when
+// routesByHost is nil, which means that the configuration has changed.
 func (s *Snapshot) buildIndexes() {
 	s.serversByService = map[string][]*Server{}
 	for _, server := range s.Servers {
@@ -68,18 +76,20 @@
 	if s.Config == nil || s.routesByHost != nil {
 		return
 	}
-	s.routesByHost = map[string][]*Route{}
+	s.routesByHost, s.routesByName = map[string][]*Route{}, map[string]*Route{}
 	for i := range s.Config.Routes {
 		r := &s.Config.Routes[i]
 		host := strings.ToLower(r.Host)
 		s.routesByHost[host] = append(s.routesByHost[host], r)
+		s.routesByName[r.Name] = r
 	}
 	for _, list := range s.routesByHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	s.accountsByKey = map[string]*Account{}
+	s.accountsByKey, s.accountsByName = map[string]*Account{}, map[string]*Account{}
 	for i := range s.Config.Accounts {
 		a := &s.Config.Accounts[i]
+		s.accountsByName[a.Name] = a
 		for _, key := range a.Keys {
 			s.accountsByKey[key] = a
 		}
