Reports of peers count for the servers of their own data centre only

Change: a report that the store responded counts for the servers of the data centre of the instance that reports.

TestRowsThatLapsedWhileTheStoreWasAway has the case; without the change it listed neither server ("" instead of "x:a").

An agent that starts while a load is in progress that an earlier agent has proven publishes its server as loading until the load is complete.

--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -116,7 +116,7 @@
 	}
 	if c := update.StoreContact; c != nil {
 		now := x.cfg.Clock.Now()
-		x.cfg.ServersFollower.ObserveContact(r.source, now.Add(-time.Duration(c.FromAgeMs)*time.Millisecond), now.Add(-time.Duration(c.UntilAgeMs)*time.Millisecond))
+		x.cfg.ServersFollower.ObserveContact(r.source, r.dataCentre, now.Add(-time.Duration(c.FromAgeMs)*time.Millisecond), now.Add(-time.Duration(c.UntilAgeMs)*time.Millisecond))
 	}
 	x.applyAges(update.DeclaredVersions)
 	if err := x.cfg.Evidence.MergeEvidence(update.Evidence, r.dataCentre == x.cfg.Self.DataCentre); err != nil {
--- a/connection/exchange/storecontact_test.go
+++ b/connection/exchange/storecontact_test.go
@@ -78,7 +78,7 @@
 }
 
 func (s *oneRowSource) Decode(_ catalog.Table, r catalog.Row, _ time.Time) (catalog.Change, error) {
-	return catalog.Change{Server: &catalog.Server{ID: r.Key}, Removed: r.Deleted}, nil
+	return catalog.Change{Server: &catalog.Server{ID: r.Key, DataCentre: "y"}, Removed: r.Deleted}, nil
 }
 
 // Guards against requests to a server that left while this entry instance alone was cut off
--- a/version/catalog/contact.go
+++ b/version/catalog/contact.go
@@ -23,7 +23,13 @@
 	// changes are the moments at which changes that peers have read arrived here, oldest first.
 	changes []contact
 	// peers are the contacts that entry instances report, by the name of the source.
-	peers map[string]contact
+	peers map[string]peerContact
+}
+
+// peerContact is the contact of an entry instance in a data centre.
+type peerContact struct {
+	contact
+	dataCentre string
 }
 
 // addOwn records a response at time now to a call that began at begunAt. It continues the last
@@ -51,9 +57,9 @@
 }
 
 // addPeer records the contact that source reports.
-func (c *storeContacts) addPeer(source string, k contact) {
+func (c *storeContacts) addPeer(source string, k peerContact) {
 	if c.peers == nil {
-		c.peers = map[string]contact{}
+		c.peers = map[string]peerContact{}
 	}
 	c.peers[source] = k
 	for other, old := range c.peers {
@@ -72,11 +78,14 @@
 }
 
 // mayHaveBeenAway reports whether between from and to there may have been a time of limit or
-// more in which the store responded to nobody.
-func (c *storeContacts) mayHaveBeenAway(from, to time.Time, limit time.Duration) bool {
+// more in which the store could not be reached from a data centre: in which it responded neither
+// to this process nor to an entry instance there.
+func (c *storeContacts) mayHaveBeenAway(dataCentre string, from, to time.Time, limit time.Duration) bool {
 	all := slices.Concat(c.own, c.changes)
 	for _, k := range c.peers {
-		all = append(all, k)
+		if k.dataCentre == dataCentre {
+			all = append(all, k.contact)
+		}
 	}
 	slices.SortFunc(all, func(a, b contact) int { return a.from.Compare(b.from) })
 	for _, k := range all {
@@ -129,18 +138,19 @@
 	return last.from, last.until, !f.unavailable && !f.idle && f.changeRevision > 0
 }
 
-// ObserveContact records that the store responded to another entry instance from the time from
-// until the time until. Rows that were deleted meanwhile did not lapse, so that what they
-// describe is removed at once.
-func (f *Follower) ObserveContact(source string, from, until time.Time) {
+// ObserveContact records that the store responded to another entry instance, in the given data
+// centre, from the time from until the time until. Rows of servers there that were deleted
+// meanwhile did not lapse, so that the servers are removed at once.
+func (f *Follower) ObserveContact(source, dataCentre string, from, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.contacts.addPeer(source, contact{from, until})
-	now := f.clock.Now()
-	if !f.awaitsGraceEnd() || f.inGracePeriod(now) {
+	f.contacts.addPeer(source, peerContact{contact{from, until}, dataCentre})
+	if !f.awaitsGraceEnd() {
 		return
 	}
-	changes := append(f.removeMissing(now), f.releaseHeldBack(now)...)
-	f.recordGone(changes, now)
-	f.holder.Apply(changes, false, f.table == TableServers, now)
+	now := f.clock.Now()
+	if changes := f.endGrace(now); len(changes) > 0 {
+		f.recordGone(changes, now)
+		f.holder.Apply(changes, false, f.table == TableServers, now)
+	}
 }
--- a/version/catalog/contact_test.go
+++ b/version/catalog/contact_test.go
@@ -49,7 +49,7 @@
 	nobody := func(*Follower, time.Time) {}
 	// peer reports that the store responds to it all the time, up to 1.9 s before its report.
 	peer := func(f *Follower, start time.Time) {
-		f.ObserveContact("peer", start, time.Now().Add(-1900*time.Millisecond))
+		f.ObserveContact("peer", "", start, time.Now().Add(-1900*time.Millisecond))
 	}
 
 	Convey("A server that leaves at the end of a cut is not used 3 s after it", t, func() {
@@ -93,22 +93,34 @@
 		pollAll(f, source, response{rows: []Row{newRow("a", "ready", 3), newRow("b", "ready", 4)}, rev: 9}, response{err: errDown})
 		downAt := clock.Now()
 		clock.Advance(4 * time.Second)
-		f.ObserveContact("peer", downAt.Add(-time.Minute), downAt)
+		f.ObserveContact("peer", "", downAt.Add(-time.Minute), downAt)
 		So(pollAll(f, source, response{rows: []Row{deletedRow("a", 10), deletedRow("b", 11)}, rev: 11}), ShouldEqual, "a b")
 		clock.Advance(500 * time.Millisecond)
-		f.ObserveContact("peer", clock.Now().Add(-600*time.Millisecond), clock.Now())
+		f.ObserveContact("peer", "", clock.Now().Add(-600*time.Millisecond), clock.Now())
 		clock.Advance(1400 * time.Millisecond)
 		So(pollAll(f, source, response{rows: []Row{newRow("b", "ready", 12)}, rev: 12}), ShouldEqual, "a b")
 		clock.Advance(200 * time.Millisecond)
 		So(pollAll(f, source, response{rev: 13}), ShouldEqual, "b")
 	})
 
+	Convey("Reports from another data centre do not count for servers of one that was cut off as a whole", t, func() {
+		f, source, clock := newFollower(TableServers)
+		pollAll(f, source, response{rows: []Row{newRow("x:a", "ready", 3), newRow("y:b", "ready", 4)}, rev: 9}, response{err: errDown})
+		clock.Advance(4 * time.Second)
+		f.ObserveContact("peer", "y", clock.Now().Add(-time.Minute), clock.Now())
+		So(pollAll(f, source, response{rows: []Row{deletedRow("x:a", 10), deletedRow("y:b", 11)}, rev: 11}), ShouldEqual, "x:a")
+		f.ObserveContact("peer", "y", clock.Now().Add(-time.Minute), clock.Now())
+		So(listServers(f.holder), ShouldEqual, "x:a")
+		clock.Advance(missingGracePeriod)
+		So(pollAll(f, source, response{rev: 12}), ShouldEqual, "")
+	})
+
 	Convey("A report that the store was there all the time removes them at once", t, func() {
 		f, source, clock := newFollower(TableServers)
 		pollAll(f, source, response{rows: []Row{newRow("a", "ready", 3), newRow("b", "ready", 4)}, rev: 9}, response{err: errDown})
 		clock.Advance(4 * time.Second)
 		So(pollAll(f, source, response{rows: []Row{deletedRow("a", 10)}, rev: 11}), ShouldEqual, "a b")
-		f.ObserveContact("peer", clock.Now().Add(-time.Minute), clock.Now())
+		f.ObserveContact("peer", "", clock.Now().Add(-time.Minute), clock.Now())
 		So(listServers(f.holder), ShouldEqual, "b")
 	})
 }
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -98,11 +98,9 @@
 			changes = append(changes, c)
 		}
 	}
-	if f.inGracePeriod(now) {
-		for key, r := range old {
-			if _, ok := f.rows[key]; !ok {
-				f.recordMissingRow(r)
-			}
+	for key, r := range old {
+		if _, ok := f.rows[key]; !ok && f.inGracePeriod(f.dataCentreOf(key), now) {
+			f.recordMissingRow(r)
 		}
 	}
 	changes = append(changes, f.keepMissing(now)...)
@@ -163,7 +161,7 @@
 			continue
 		}
 		f.changeRevision = max(f.changeRevision, r.Revision)
-		if r.Deleted && f.inGracePeriod(now) && f.table == TableServers {
+		if r.Deleted && f.table == TableServers && f.inGracePeriod(f.dataCentreOf(r.Key), now) {
 			f.recordMissingRow(f.rows[r.Key])
 			delete(f.rows, r.Key)
 			continue
@@ -183,10 +181,7 @@
 			changes = append(changes, c)
 		}
 	}
-	if !f.inGracePeriod(now) {
-		changes = append(changes, f.removeMissing(now)...)
-		changes = append(changes, f.releaseHeldBack(now)...)
-	}
+	changes = append(changes, f.endGrace(now)...)
 	f.readRevision = max(f.readRevision, rev)
 	f.recordGone(changes, now)
 	if len(changes) > 0 {
--- a/version/catalog/follower_test.go
+++ b/version/catalog/follower_test.go
@@ -26,7 +26,7 @@
 
 // scriptedSource is a Source that returns prepared responses in order. Further calls
 // block until their context ends. The value of a server's row is "ready", "leaving"
-// or, for a row that cannot be decoded, "spoilt".
+// or, for a row that cannot be decoded, "spoilt". A colon in the key ends the data centre.
 type scriptedSource struct {
 	mu        sync.Mutex
 	responses []response
@@ -67,7 +67,11 @@
 	if t == TableDeclared {
 		return s.decodeDeclared(r)
 	}
-	server := &Server{ID: r.Key, Service: "registry", Leaving: string(r.Value) == "leaving", ColdUntil: now.Add(time.Second)}
+	dataCentre, _, found := strings.Cut(r.Key, ":")
+	if !found {
+		dataCentre = ""
+	}
+	server := &Server{ID: r.Key, Service: "registry", DataCentre: dataCentre, Leaving: string(r.Value) == "leaving", ColdUntil: now.Add(time.Second)}
 	if string(r.Value) == "spoilt" {
 		return Change{Server: server, Removed: true}, errors.New("spoilt")
 	}
--- a/version/catalog/poll.go
+++ b/version/catalog/poll.go
@@ -79,9 +79,9 @@
 }
 
 // pollTimeout returns the longest time that the next ChangesSince call may wait for a change; 0
-// during an outage. While servers are missing, the call waits no longer than the rest of their grace period. For the table of
-// servers, a dead connection must be noticed, and a response reported to peers, before rows
-// could have lapsed since the response before.
+// during an outage. While servers are missing, the call waits no longer than the rest of their
+// grace period. For the table of servers, a dead connection must be noticed, and a response
+// reported to peers, before rows could have lapsed since the response before.
 func (f *Follower) pollTimeout() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/version/catalog/restored.go
+++ b/version/catalog/restored.go
@@ -109,35 +109,50 @@
 	return changes
 }
 
-// removeMissing returns the changes that remove what missingRows describe, and forgets
-// the rows. The caller must hold f.mu.
-func (f *Follower) removeMissing(now time.Time) []Change {
+// endGrace returns the changes that are due because the grace period has ended, for all rows
+// or for the servers of some data centres, and forgets these rows. The caller must hold f.mu.
+func (f *Follower) endGrace(now time.Time) []Change {
 	var changes []Change
 	for key := range f.missingRows {
+		if f.inGracePeriod(f.dataCentreOf(key), now) {
+			continue
+		}
 		if c, ok := f.decode(Row{Key: key, Deleted: true}, now); ok {
 			changes = append(changes, c)
 		}
 		delete(f.missingRows, key)
 	}
-	return changes
+	if f.inGracePeriod("", now) {
+		return changes
+	}
+	return append(changes, f.releaseHeldBack(now)...)
+}
+
+// dataCentreOf returns the data centre of a listed server; it is empty for other rows.
+func (f *Follower) dataCentreOf(key string) string {
+	if server := f.holder.Current().Servers[key]; server != nil && f.table == TableServers {
+		return server.DataCentre
+	}
+	return ""
 }
 
 // inGracePeriod reports whether a row may be missing only because of an outage of the
 // store: the store is unavailable, became available again less than missingGracePeriod
 // ago, or has come back from a copy since then. Only the last is true of tables other
-// than TableServers: their rows do not lapse. An outage of this process alone, or one that
-// was too short for rows to lapse, is no reason. The caller must hold f.mu.
-func (f *Follower) inGracePeriod(now time.Time) bool {
+// than TableServers: their rows do not lapse. Rows of servers in dataCentre do not lapse in an
+// outage of this process alone, or in one that was too short; without a data centre, the
+// contacts of peers do not count. The caller must hold f.mu.
+func (f *Follower) inGracePeriod(dataCentre string, now time.Time) bool {
 	if f.table == TableServers && f.unavailable {
-		return f.contacts.mayHaveBeenAway(f.lastResponseAt, now, f.lapseTime())
+		return f.contacts.mayHaveBeenAway(dataCentre, f.lastResponseAt, now, f.lapseTime())
 	}
-	return !f.restoredAt.IsZero() && now.Sub(f.restoredAt) < missingGracePeriod && f.mayHaveLapsed(f.restoredAt, f.outage)
+	return !f.restoredAt.IsZero() && now.Sub(f.restoredAt) < missingGracePeriod && f.mayHaveLapsed(dataCentre, f.restoredAt, f.outage)
 }
 
-// mayHaveLapsed reports whether rows of live servers may have lapsed in an outage that ended at
-// end; 0 is the length of one that is not known. The caller must hold f.mu.
-func (f *Follower) mayHaveLapsed(end time.Time, outage time.Duration) bool {
-	return outage == 0 || f.contacts.mayHaveBeenAway(end.Add(-outage), end, f.lapseTime())
+// mayHaveLapsed reports whether rows of live servers in a data centre may have lapsed in an
+// outage that ended at end; 0 is the length of one that is not known. The caller must hold f.mu.
+func (f *Follower) mayHaveLapsed(dataCentre string, end time.Time, outage time.Duration) bool {
+	return outage == 0 || f.contacts.mayHaveBeenAway(dataCentre, end.Add(-outage), end, f.lapseTime())
 }
 
 // recordMissingRow records a row that is gone, and what it describes stays in the
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -114,7 +114,7 @@
 	if c.GraceMs == 0 {
 		f.contacts.addChange(now)
 	} else if outage := time.Duration(c.OutMs) * time.Millisecond; restoredAt.After(f.restoredAt) &&
-		!f.contacts.during(restoredAt, outage) && f.mayHaveLapsed(restoredAt, outage) {
+		!f.contacts.during(restoredAt, outage) && f.mayHaveLapsed("", restoredAt, outage) {
 		f.restoredAt, f.outage = restoredAt, outage
 	}
 	f.applyRowsLocked(c.Rows, c.Until)
@@ -136,7 +136,7 @@
 	c := RowChanges{Rows: rows, Since: f.sharedUntil, Until: until.Revision, Era: f.era}
 	// A peer may have sent later changes while this response was on its way.
 	f.sharedUntil = max(f.sharedUntil, until.Revision)
-	if now := f.clock.Now(); f.inGracePeriod(now) {
+	if now := f.clock.Now(); f.inGracePeriod("", now) {
 		c.GraceMs, c.OutMs = f.remainingGrace(now).Milliseconds(), f.outage.Milliseconds()
 	}
 	f.mu.Unlock()
--- a/version/loading/report.go
+++ b/version/loading/report.go
@@ -17,6 +17,8 @@
 	last := l.state
 	l.proof.observe(r)
 	usable, proven := l.proof.usable(r), last.Proven
+	// Without an order of this process, the load is one that an earlier agent ordered.
+	loading := r.Busy && (last.Loading || l.ordered.version == 0)
 	if usable {
 		proven = l.proof.load(r)
 	}
@@ -25,7 +27,7 @@
 		l.cfg.Log.Event(eventServerChanged, eventlog.Fields{"weights": r.Weights, "startedAnew": restarted, "orders": r.AcceptedOrderCount})
 	}
 	if usable {
-		l.publish(ServerState{Weights: r.Weights, Loading: last.Loading && r.Busy, Pace: paceToPublish(last.Pace, r.Pace), Proven: proven})
+		l.publish(ServerState{Weights: r.Weights, Loading: loading, Pace: paceToPublish(last.Pace, r.Pace), Proven: proven})
 	} else {
 		l.publish(ServerState{Weights: last.Weights, Loading: true, Pace: paceToPublish(last.Pace, r.Pace), Proven: proven})
 	}
