An instance that lacks a change of the store that a peer has says so

What was missing: a configuration that was not in force everywhere could be seen only by comparing events 220 of all instances. Nothing told an instance's operator that it was behind, since when, and whether its calls to the store failed (226 has only the first error), took long, or were left to a peer.

Change: the Follower keeps the positions that peers report and that it lacks, up to 64 with the time of their first report. Event 231 (catalog-late) is logged when the oldest has been missing for 1 s, once in a period, and event 232 (catalog-caught-up) at its end, with the whole time. The gauges catalog.TABLE.revision and catalog.TABLE.behind.milliseconds show the state at any time. No decision goes by any of this. A read of the complete table counts up to the position of the read, since it shows no deletions.

--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -145,6 +145,7 @@
 		catalog.TableDeclared: {Era: update.DeclaredEra, Revision: update.DeclaredRevision},
 		catalog.TableServers:  {Era: update.ServersEra, Revision: update.ServersRevision},
 	} {
+		x.follower(t).ObservePeerPosition(peer, peerChange)
 		if lags[t].overdue(x.follower(t).LastChange(), peerChange, now) && x.allowRequest(t, now) && !x.follower(t).PollNow() {
 			request.Tables = append(request.Tables, t)
 		}
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -145,6 +145,8 @@
 	})
 	e.shareReads(catalog.TableDeclared, e.declaredFollower)
 	e.shareReads(catalog.TableServers, e.serversFollower)
+	e.declaredFollower.RegisterMetrics(e.metricsRegistry)
+	e.serversFollower.RegisterMetrics(e.metricsRegistry)
 	e.handler = forward.New(forward.Config{
 		Headers: platform.HeaderNames(), Holder: e.catalogHolder, Scheduler: e.scheduler, Pool: e.connPool,
 		Log: log, Clock: clock, Metrics: e.metricsRegistry, FingerprintKey: []byte(o.Token), Intake: budget,
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -108,6 +108,7 @@
 	f.changeRevision, f.readRevision = max(f.changeRevision, content.ChangeRevision), content.ReadRevision
 	f.sharedUntil, f.era = content.ReadRevision, content.Era
 	f.holder.Apply(changes, true, f.table == TableServers, now)
+	f.updateBehind()
 }
 
 // unchanged reports whether a row still has the content that it had before. Revisions
@@ -187,6 +188,7 @@
 	if len(changes) > 0 {
 		f.holder.Apply(changes, false, f.table == TableServers, now)
 	}
+	f.updateBehind()
 }
 
 // decode returns the change that a row describes, and whether to apply the change. It
--- a/version/catalog/events.go
+++ b/version/catalog/events.go
@@ -29,4 +29,8 @@
 		"The store has come back from a copy, in a new era: what was written since the copy is gone, and revisions are given out again. The complete table of the new era replaces the one before.")
 	eventTableFromPeer = eventlog.Define(229, "catalog-relayed", logrus.InfoLevel,
 		"A newer copy of a table was adopted from another entry instance.")
+	eventTableLate = eventlog.Define(231, "catalog-late", logrus.WarnLevel,
+		"For over a second, another entry instance has been known to have a newer revision of a table than this process.")
+	eventTableCaughtUp = eventlog.Define(232, "catalog-caught-up", logrus.InfoLevel,
+		"This process has the revisions of the table whose lateness it logged; behindMs is how long the first of them was known to be missing.")
 )
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -92,6 +92,8 @@
 	// idle is true while the Follower relies on a peer. pollNow ends that.
 	idle    bool
 	pollNow chan struct{}
+
+	behind behindState
 }
 
 // NewFollower returns a Follower of table t that reads from source and writes
@@ -260,6 +262,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failedCalls++
+	f.behind.callErr = err
 	f.timedOut = errors.Is(err, context.DeadlineExceeded)
 	if f.unavailable {
 		return
