Counters of what entry instances send each other

What was missing: whether a link between regions was taken up by copies of tables that instances send each other, by changes or by neither, and whether the copies were of use, could not be told from logs or metrics.

Change: exchange.Config.Metrics, which may be nil, receives counters of the tables that are requested, sent (with the bytes of their rows) and adopted, of the changes that are sent or find a full queue, and of the connections that end. AdoptIfNewer reports whether it adopted the table.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanway/rattanway/connection/frame"
@@ -128,6 +129,8 @@
 	Log *eventlog.Logger
 	// Clock is the time source.
 	Clock clockwork.Clock
+	// Metrics registers the metrics; nil discards them.
+	Metrics gometrics.Registry
 }
 
 // Exchange holds the connections to the other entry instances; planConnections
@@ -155,6 +158,7 @@
 	// changeQueues are the queues of the connections on which changes of tables may be
 	// sent, with the address of the peer.
 	changeQueues map[chan frame.TableChanges]string
+	metrics      exchangeMetrics
 }
 
 // New returns an Exchange without connections; Run opens them.
@@ -162,7 +166,7 @@
 	return &Exchange{
 		cfg: cfg, known: map[string]string{}, knownChanged: make(chan struct{}), followed: map[string]bool{},
 		lastRequested: map[catalog.Table]time.Time{}, peerReads: map[string]peerRead{},
-		changeQueues: map[chan frame.TableChanges]string{},
+		changeQueues: map[chan frame.TableChanges]string{}, metrics: newExchangeMetrics(cfg.Metrics),
 	}
 }
 
@@ -275,6 +279,7 @@
 	if err != nil {
 		return err
 	}
+	defer x.metrics.connectionsEnded.Inc(1)
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -323,6 +328,7 @@
 	if err != nil {
 		return false, err
 	}
+	defer x.metrics.connectionsEnded.Inc(1)
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -358,6 +364,7 @@
 	if err != nil {
 		return
 	}
+	defer x.metrics.connectionsEnded.Inc(1)
 	defer func() { _ = conn.Close() }()
 	var hello frame.EntryHello
 	if err := conn.Expect(frame.KindEntryHello, &hello, x.cfg.Clock.Now().Add(receiveTimeout)); err != nil {
--- a/connection/exchange/readers.go
+++ b/connection/exchange/readers.go
@@ -115,6 +115,7 @@
 		select {
 		case queue <- frame.TableChanges{Table: t, Changes: c}:
 		default:
+			x.metrics.changesDropped.Inc(1)
 		}
 	}
 }
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -74,7 +74,9 @@
 		if err := f.Decode(&t); err != nil {
 			return err
 		}
-		r.x.follower(t.Table).AdoptIfNewer(t.Content, r.source)
+		if r.x.follower(t.Table).AdoptIfNewer(t.Content, r.source) {
+			r.x.metrics.tablesAdopted.Inc(1)
+		}
 	case frame.KindTableChanges:
 		var c frame.TableChanges
 		if err := f.Decode(&c); err != nil {
@@ -153,6 +155,7 @@
 	if len(request.Tables) == 0 {
 		return nil
 	}
+	x.metrics.tablesRequested.Inc(int64(len(request.Tables)))
 	x.cfg.Log.Event(eventTablesRequested, eventlog.Fields{"peer": peer, "tables": len(request.Tables)})
 	return conn.Send(frame.KindTableRequest, request)
 }
--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -76,6 +76,7 @@
 				if err := s.conn.Send(frame.KindTableChanges, c); err != nil {
 					return err
 				}
+				s.x.metrics.changesSent.Inc(1)
 			case <-next:
 				waiting = false
 			}
@@ -221,9 +222,11 @@
 		if t != catalog.TableDeclared && t != catalog.TableServers {
 			continue
 		}
-		if err := s.conn.Send(frame.KindTable, frame.TableState{Table: t, Content: s.x.follower(t).Content()}); err != nil {
+		content := s.x.follower(t).Content()
+		if err := s.conn.Send(frame.KindTable, frame.TableState{Table: t, Content: content}); err != nil {
 			return err
 		}
+		s.x.metrics.countTableSent(content)
 	}
 	return nil
 }
--- a/daemon/hosted/entry.go
+++ b/daemon/hosted/entry.go
@@ -142,6 +142,7 @@
 		},
 		Token: o.Token, Holder: e.catalogHolder, DeclaredFollower: e.declaredFollower, ServersFollower: e.serversFollower,
 		LoadTracker: e.scheduler, Agents: e.fleetHub, Evidence: e.scheduler, Log: log, Clock: clock,
+		Metrics: e.metricsRegistry,
 	})
 	e.shareReads(catalog.TableDeclared, e.declaredFollower)
 	e.shareReads(catalog.TableServers, e.serversFollower)
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -49,15 +49,17 @@
 }
 
 // AdoptIfNewer replaces the table's content with content, which another entry
-// instance sent, if content is newer. from names that entry instance, for the log.
-func (f *Follower) AdoptIfNewer(content TableContent, from string) {
+// instance sent, if content is newer, and reports whether it was. from names that entry
+// instance, for the log.
+func (f *Follower) AdoptIfNewer(content TableContent, from string) bool {
 	if !f.LastChange().Before(content.lastChange()) {
-		return
+		return false
 	}
 	f.log.Event(eventTableFromPeer, eventlog.Fields{
 		"table": f.table.Name(), "from": from, "revision": content.ChangeRevision, "before": f.LastChange().Revision, "era": content.Era,
 	})
 	f.replaceContent(content, true)
+	return true
 }
 
 // replaceContent replaces the complete content of the table. It does nothing if content
