The event of a configuration names its source

What was missing: a configuration that a reader of the same data centre had passed on could not be told from one that the instance had read from the store itself. Event 229 names the source of complete tables alone.

Change: event 220 has the field "from": "store", or the entry instance that sent the table or the change.

--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -82,6 +82,7 @@
 		if err := f.Decode(&c); err != nil {
 			return err
 		}
+		c.Changes.From = r.source
 		r.x.follower(c.Table).ApplyFromPeer(c.Changes)
 	}
 	return nil
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -58,17 +59,17 @@
 	f.log.Event(eventTableFromPeer, eventlog.Fields{
 		"table": f.table.Name(), "from": from, "revision": content.ChangeRevision, "before": f.LastChange().Revision, "era": content.Era,
 	})
-	f.replaceContent(content, true)
+	f.replaceContent(content, cmp.Or(from, "peer"))
 	return true
 }
 
 // replaceContent replaces the complete content of the table. It does nothing if content
-// is of an older era, or if fromPeer is true and content is not newer than the present
-// content.
-func (f *Follower) replaceContent(content TableContent, fromPeer bool) {
+// is of an older era, or if a peer sent it and content is not newer than the present
+// content. peer is empty if content was read from the store.
+func (f *Follower) replaceContent(content TableContent, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if fromPeer && !(Position{f.era, f.changeRevision}).Before(content.lastChange()) || content.Era < f.era {
+	if peer != "" && !(Position{f.era, f.changeRevision}).Before(content.lastChange()) || content.Era < f.era {
 		return
 	}
 	now := f.clock.Now()
@@ -109,7 +110,7 @@
 	f.recordUnlisted(old, now)
 	f.changeRevision, f.readRevision = max(f.changeRevision, content.ChangeRevision), content.ReadRevision
 	f.sharedUntil, f.era = content.ReadRevision, content.Era
-	f.holder.Apply(changes, true, f.table == TableServers, now)
+	f.holder.Apply(withSource(changes, peer), true, f.table == TableServers, now)
 	f.updateBehind()
 }
 
@@ -149,13 +150,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if until.Era == f.era {
-		f.applyRowsLocked(rows, until.Revision)
+		f.applyRowsLocked(rows, until.Revision, "")
 	}
 	f.blindSince = time.Time{}
 }
 
-// applyRowsLocked is applyRows for callers that hold f.mu, with a revision of f.era.
-func (f *Follower) applyRowsLocked(rows []Row, rev uint64) {
+// applyRowsLocked is applyRows for callers that hold f.mu, with a revision of f.era. peer
+// is empty if the rows were read from the store.
+func (f *Follower) applyRowsLocked(rows []Row, rev uint64, peer string) {
 	now := f.clock.Now()
 	var changes []Change
 	for _, r := range rows {
@@ -188,11 +190,19 @@
 	f.readRevision = max(f.readRevision, rev)
 	f.recordGone(changes, now)
 	if len(changes) > 0 {
-		f.holder.Apply(changes, false, f.table == TableServers, now)
+		f.holder.Apply(withSource(changes, peer), false, f.table == TableServers, now)
 	}
 	f.updateBehind()
 }
 
+// withSource returns changes after setting the peer that sent them.
+func withSource(changes []Change, peer string) []Change {
+	for i := range changes {
+		changes[i].From = peer
+	}
+	return changes
+}
+
 // decode returns the change that a row describes, and whether to apply the change. It
 // logs an event if the row cannot be decoded.
 func (f *Follower) decode(r Row, now time.Time) (Change, bool) {
--- a/version/catalog/events.go
+++ b/version/catalog/events.go
@@ -8,7 +8,7 @@
 
 var (
 	eventConfig = eventlog.Define(220, "catalog-configuration", logrus.InfoLevel,
-		"A newer configuration of the platform's operators took effect in this process.")
+		"A newer configuration of the platform's operators took effect in this process; from names its source: the store, or the entry instance that sent it.")
 	eventDataCentre = eventlog.Define(221, "catalog-data-centre", logrus.InfoLevel,
 		"Operators took a data centre out of service or put it back.")
 	eventWeights = eventlog.Define(222, "catalog-weights", logrus.InfoLevel,
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -190,7 +190,7 @@
 		return core.WrapStep("follow "+f.table.Name(), "", checkEra(before, position.Era))
 	}
 	f.markAvailable()
-	f.replaceContent(TableContent{Rows: rows, ChangeRevision: newestRevision(rows), ReadRevision: position.Revision, Era: position.Era}, false)
+	f.replaceContent(TableContent{Rows: rows, ChangeRevision: newestRevision(rows), ReadRevision: position.Revision, Era: position.Era}, "")
 	f.shareRead(nil, position, position.Era > before)
 	return nil
 }
--- a/version/catalog/holder.go
+++ b/version/catalog/holder.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -25,6 +26,9 @@
 	Weights *Weights
 	// Removed reports whether the row was deleted, or could not be decoded.
 	Removed bool
+	// From names the entry instance that sent the row, for the log; empty if the row was
+	// read from the store.
+	From string
 }
 
 // Holder publishes the newest Snapshot. It is safe for concurrent use.
@@ -99,7 +103,7 @@
 func (h *Holder) applyChange(next *Snapshot, c *Change, now time.Time) {
 	switch {
 	case c.Config != nil:
-		h.applyConfig(next, c.Config)
+		h.applyConfig(next, c.Config, cmp.Or(c.From, "store"))
 	case c.Server != nil && c.Removed:
 		delete(next.Servers, c.Server.ID)
 	case c.Server != nil:
@@ -118,8 +122,8 @@
 }
 
 // applyConfig sets the configuration of next unless next has the same version or
-// a newer one.
-func (h *Holder) applyConfig(next *Snapshot, c *Config) {
+// a newer one. from names its source, for the log.
+func (h *Holder) applyConfig(next *Snapshot, c *Config, from string) {
 	if next.Config != nil && c.Version <= next.Config.Version {
 		return
 	}
@@ -130,7 +134,7 @@
 	next.Config = c
 	next.routesByHost = nil
 	h.log.Event(eventConfig, eventlog.Fields{
-		"number": c.Version, "before": before,
+		"number": c.Version, "before": before, "from": from,
 		"routes": len(c.Routes), "services": len(c.Services), "accounts": len(c.Accounts),
 	})
 }
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -31,6 +32,8 @@
 	// OutMs is how long the outage lasted for the sender, in milliseconds; 0 if it is not
 	// known, or if the store has come back from a copy.
 	OutMs int64 `cbor:"6,keyasint,omitempty"`
+	// From names the sender, for the log. The receiver sets it.
+	From string `cbor:"-"`
 }
 
 // Share makes the Follower rely on peers. While readByPeer returns true, the Follower
@@ -117,7 +120,7 @@
 		!f.contacts.during(restoredAt, outage) && f.mayHaveLapsed("", restoredAt, outage) {
 		f.restoredAt, f.outage = restoredAt, outage
 	}
-	f.applyRowsLocked(c.Rows, c.Until)
+	f.applyRowsLocked(c.Rows, c.Until, cmp.Or(c.From, "peer"))
 	f.sharedUntil = max(f.sharedUntil, c.Until)
 }
 
