exchange: a field for opening connections; waiting to send blocks on a channel

Cause: connections between entry instances could only be opened over sockets, so that no test in virtual time (testing/synctest) could run an Exchange; and two senders on one frame.Conn waited for a mutex, which stops the virtual clock.

Change: exchange.Config.Dial (default dial.DialContext), frame.DialWith and the type dial.Func; frame.Conn.Send waits on a channel. Nothing else changes.

Checked: go test -race ./connection/frame ./process/dial ./internal/lint, staticcheck of connection and process.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -131,6 +131,9 @@
 	Clock clockwork.Clock
 	// Metrics registers the metrics; nil discards them.
 	Metrics gometrics.Registry
+	// Dial opens the network connections to other entry instances; nil means
+	// dial.DialContext.
+	Dial dial.Func
 }
 
 // Exchange holds the connections to the other entry instances; planConnections
@@ -163,6 +166,9 @@
 
 // New returns an Exchange without connections; Run opens them.
 func New(cfg Config) *Exchange {
+	if cfg.Dial == nil {
+		cfg.Dial = dial.DialContext
+	}
 	return &Exchange{
 		cfg: cfg, known: map[string]string{}, knownChanged: make(chan struct{}), followed: map[string]bool{},
 		lastRequested: map[catalog.Table]time.Time{}, peerReads: map[string]peerRead{},
@@ -275,7 +281,7 @@
 // counts on the connection until it ends. On the same connection it serves the table
 // requests of the peer.
 func (x *Exchange) runSession(ctx context.Context, addr string, timeout time.Duration) error {
-	conn, err := frame.Dial(addr, Path, x.cfg.Token, timeout)
+	conn, err := frame.DialWith(x.cfg.Dial, addr, Path, x.cfg.Token, timeout)
 	if err != nil {
 		return err
 	}
@@ -324,7 +330,7 @@
 // and receives the reports about its data centre until the connection ends.
 // connected is true if the connection was opened.
 func (x *Exchange) runFollowSession(ctx context.Context, addr, dataCentre string, timeout time.Duration) (connected bool, err error) {
-	conn, err := frame.Dial(addr, Path, x.cfg.Token, timeout)
+	conn, err := frame.DialWith(x.cfg.Dial, addr, Path, x.cfg.Token, timeout)
 	if err != nil {
 		return false, err
 	}
--- a/connection/frame/conn.go
+++ b/connection/frame/conn.go
@@ -106,9 +106,17 @@
 // Conn sends and receives frames over a WebSocket connection. Several goroutines
 // may send concurrently, while one goroutine receives.
 type Conn struct {
-	ws     *websocket.Conn
-	peer   string
-	sendMu sync.Mutex
+	ws   *websocket.Conn
+	peer string
+	// sendSlot holds a value while a frame is written. It is a channel because a goroutine
+	// that waits for a mutex stops the clock of a test in virtual time.
+	sendSlot chan struct{}
+}
+
+// newConn returns the Conn of an open WebSocket connection.
+func newConn(ws *websocket.Conn, peer string) *Conn {
+	ws.SetReadLimit(MaxBytes)
+	return &Conn{ws: ws, peer: peer, sendSlot: make(chan struct{}, 1)}
 }
 
 // Peer returns the name of the peer for errors and log lines.
@@ -123,8 +131,8 @@
 	if err != nil {
 		return core.WrapStep("send frame", c.peer, err)
 	}
-	c.sendMu.Lock()
-	defer c.sendMu.Unlock()
+	c.sendSlot <- struct{}{}
+	defer func() { <-c.sendSlot }()
 	if err := c.ws.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return core.WrapStep("send frame", c.peer, err)
 	}
@@ -184,17 +192,21 @@
 	if err != nil {
 		return nil, core.WrapStep("accept connection", r.RemoteAddr, err)
 	}
-	ws.SetReadLimit(MaxBytes)
-	return &Conn{ws: ws, peer: r.RemoteAddr}, nil
+	return newConn(ws, r.RemoteAddr), nil
 }
 
 // Dial opens a Conn to path at addr ("ip:port") and sends the peer token.
 // timeout limits the time until the connection is open.
 func Dial(addr, path, token string, timeout time.Duration) (*Conn, error) {
+	return DialWith(dial.DialContext, addr, path, token, timeout)
+}
+
+// DialWith is like Dial, but opens the network connection with dialContext.
+func DialWith(dialContext dial.Func, addr, path, token string, timeout time.Duration) (*Conn, error) {
 	var limited *dial.LimitedConn
 	d := websocket.Dialer{
 		NetDialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dial.DialContext(ctx, network, addr)
+			conn, err := dialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -216,6 +228,5 @@
 		return nil, core.WrapStep("dial", addr, core.ClipError(err))
 	}
 	limited.ClearReadLimit()
-	ws.SetReadLimit(MaxBytes)
-	return &Conn{ws: ws, peer: addr}, nil
+	return newConn(ws, addr), nil
 }
--- a/process/dial/dial.go
+++ b/process/dial/dial.go
@@ -41,6 +41,9 @@
 	},
 }
 
+// Func opens a connection to addr; DialContext is one.
+type Func func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // DialContext opens a connection to addr within Timeout, or until ctx ends.
 func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	return dialer.DialContext(ctx, network, addr)
