Store: time limits end calls that get no bytes, not those that take long

Cause: the limit of a call to the store (the wait and 0.7 s, or 2 s) covered the transfer of the body, and a call of the change feed was repeated 0.3 s after its wait even if its response was coming in. RetryNow ended such a call too, whenever a peer connected.

What callers saw: over a busy link a row of 1 to 2 MB was cut off and begun again without end. Each instance that reads the store then counted as cut off from it, so that the others of its data centre read too, and a configuration took effect seconds late.

A Source tells through its context that a response has begun (WithResponseBegun, as in httptrace). The Follower then makes no second call, ends the one whose response has not begun, and does not let the failure of that one end the other. LastRead counts the begin of a response that is coming in, and RetryNow does nothing meanwhile. Contacts for lapses of servers (contact.go) are as before, and a store that does not respond at all is noticed after the same time.

--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -47,6 +47,9 @@
 	readRevision uint64
 	// lastResponseAt is the time of the last response of the store.
 	lastResponseAt time.Time
+	// respondingSince is the time since which the response to the call in flight is coming in;
+	// zero if none is.
+	respondingSince time.Time
 	// unavailable is true if a call has failed since lastResponseAt. failedCalls counts
 	// these calls.
 	unavailable bool
@@ -181,7 +184,7 @@
 
 // readTable reads the complete table.
 func (f *Follower) readTable(ctx context.Context) error {
-	rows, position, err := f.source.List(ctx, f.table)
+	rows, position, err := f.source.List(WithResponseBegun(ctx, f.markResponding), f.table)
 	if err != nil {
 		return err
 	}
--- a/version/catalog/poll.go
+++ b/version/catalog/poll.go
@@ -35,6 +35,13 @@
 	f.callBegunAt = f.clock.Now()
 }
 
+// markResponding records that the response to the call in flight has begun.
+func (f *Follower) markResponding() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.respondingSince = f.clock.Now()
+}
+
 // feed is the result of a ChangesSince call.
 type feed struct {
 	rows     []Row
@@ -44,33 +51,50 @@
 }
 
 // changesSince calls ChangesSince. If the call is overdue, it makes another one, which does
-// not wait for changes, and takes the response that comes first. A response to the second one
-// shows that the store is there and the connection of the first is dead.
+// not wait for changes, and ends one of the two as soon as the response to the other begins. A
+// response to the second one shows that the store is there and the connection of the first is
+// dead.
 func (f *Follower) changesSince(ctx context.Context, since uint64) ([]Row, Position, error) {
 	wait := f.pollTimeout()
 	if wait == 0 {
-		return f.source.ChangesSince(ctx, f.table, since, 0)
+		return f.source.ChangesSince(WithResponseBegun(ctx, f.markResponding), f.table, since, 0)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan feed, 2)
-	call := func(wait time.Duration, repeated bool) {
+	firstCtx, endFirst := context.WithCancel(ctx)
+	defer endFirst()
+	repeatedCtx, endRepeated := context.WithCancel(ctx)
+	defer endRepeated()
+	results, begun := make(chan feed, 2), make(chan bool, 2)
+	call := func(ctx context.Context, wait time.Duration, repeated bool) {
+		ctx = WithResponseBegun(ctx, func() { begun <- repeated })
 		rows, position, err := f.source.ChangesSince(ctx, f.table, since, wait)
 		results <- feed{rows, position, err, repeated}
 	}
-	go call(wait, false)
+	go call(firstCtx, wait, false)
 	overdue := f.clock.After(wait + overdueAfter)
+	// The failure of the first call counts, unless the second one was the first to respond.
+	var countsRepeated, responding bool
 	for {
 		select {
 		case <-overdue:
 			overdue = nil
 			f.beginCall()
-			go call(0, true)
+			go call(repeatedCtx, 0, true)
+		case repeated := <-begun:
+			if responding {
+				continue
+			}
+			overdue, responding, countsRepeated = nil, true, repeated
+			f.markResponding()
+			if repeated {
+				endFirst()
+			} else {
+				endRepeated()
+			}
 		case r := <-results:
-			if r.repeated && r.err != nil {
+			if r.err != nil && r.repeated != countsRepeated {
 				continue
 			}
-			if r.repeated {
+			if r.repeated && r.err == nil {
 				f.markUnavailable(core.WrapStep("follow "+f.table.Name(), "", errNoResponse))
 			}
 			return r.rows, r.position, r.err
--- a/version/catalog/retry.go
+++ b/version/catalog/retry.go
@@ -20,12 +20,13 @@
 
 // RetryNow makes a Follower that does not reach the store call it now, instead of at the
 // end of a pause or of a call whose packets may be lost. It is called when there is a
-// sign that the network of this machine works again.
+// sign that the network of this machine works again. It does nothing while a response is
+// coming in.
 func (f *Follower) RetryNow() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	if !f.unavailable || now.Sub(f.lastRetryNow) < minRetryNowInterval {
+	if !f.unavailable || !f.respondingSince.IsZero() || now.Sub(f.lastRetryNow) < minRetryNowInterval {
 		return
 	}
 	f.lastRetryNow = now
@@ -47,11 +48,11 @@
 	return f.pollOnce(ctx)
 }
 
-// setCancelCall sets the function that ends the call in flight.
+// setCancelCall sets the function that ends the call in flight, which has no response yet.
 func (f *Follower) setCancelCall(cancel context.CancelFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancelCall = cancel
+	f.cancelCall, f.respondingSince = cancel, time.Time{}
 }
 
 // pauseBeforeRetry waits for delay with jitter, counted from the begin of the failed call, for
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -88,12 +88,16 @@
 	return true
 }
 
-// LastRead returns the time of the store's last response. ok is false if the store
-// does not respond, or if the Follower relies on a peer.
+// LastRead returns the time of the store's last response, or when the one began that is coming
+// in. ok is false if the store does not respond, or if the Follower relies on a peer.
 func (f *Follower) LastRead() (respondedAt time.Time, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lastResponseAt, !f.unavailable && !f.idle && f.changeRevision > 0
+	respondedAt = f.lastResponseAt
+	if f.respondingSince.After(respondedAt) {
+		respondedAt = f.respondingSince
+	}
+	return respondedAt, !f.unavailable && !f.idle && f.changeRevision > 0
 }
 
 // ApplyFromPeer applies changes that a peer has read from the store. The grace period after
--- a/version/catalog/source.go
+++ b/version/catalog/source.go
@@ -58,9 +58,29 @@
 	// a new connection. It returns
 	// ErrHistoryLost when the changes are no longer available. The store knows
 	// since as a number of its present era, whichever era the caller means.
+	//
+	// List and ChangesSince call ResponseBegun with ctx as soon as a response with rows begins
+	// to arrive. A response that keeps arriving may take long; if one stops, they fail.
 	ChangesSince(ctx context.Context, t Table, since uint64, maxWait time.Duration) ([]Row, Position, error)
 	// Decode returns the change that a row describes, or ErrUnusedRow. If a
 	// server's row cannot be decoded, Decode returns an error together with a
 	// Change that removes the server.
 	Decode(t Table, r Row, now time.Time) (Change, error)
 }
+
+// responseBegunKey is the key of the function passed to WithResponseBegun in a context.
+type responseBegunKey struct{}
+
+// WithResponseBegun returns a context for a call of a Source. The Source calls begun when its
+// response begins to arrive, before the rows are complete; once for each page of List.
+func WithResponseBegun(ctx context.Context, begun func()) context.Context {
+	return context.WithValue(ctx, responseBegunKey{}, begun)
+}
+
+// ResponseBegun calls the function passed to WithResponseBegun, if there is one. It is for
+// implementations of Source.
+func ResponseBegun(ctx context.Context) {
+	if begun, ok := ctx.Value(responseBegunKey{}).(func()); ok {
+		begun()
+	}
+}
