--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// receiveTimeout is the time without a message after which the receiver closes
-	// the connection.
+	// receiveTimeout is the time without a message, or without a further byte of one, after
+	// which the receiver closes the connection.
 	receiveTimeout = 2 * time.Second
 	// followTimeout is the same for a connection through which a data centre is
 	// followed: another entry instance there can report instead.
@@ -47,7 +47,7 @@
 		timeout = followTimeout
 	}
 	for {
-		f, err := r.conn.Receive(r.x.cfg.Clock.Now().Add(timeout))
+		f, err := r.conn.ReceiveWithin(timeout)
 		if err == nil {
 			err = r.handle(f, lags)
 		}
--- a/connection/fleet/entryconnections.go
+++ b/connection/fleet/entryconnections.go
@@ -265,7 +265,7 @@
 	defer close(ended)
 	go c.sendStates(conn, addr, ended)
 	for {
-		f, err := conn.Receive(c.cfg.Clock.Now().Add(receiveTimeout))
+		f, err := conn.ReceiveWithin(receiveTimeout)
 		if err != nil {
 			return err
 		}
--- a/connection/fleet/hub.go
+++ b/connection/fleet/hub.go
@@ -25,8 +25,8 @@
 	// heartbeatInterval is the longest time between two messages, also while
 	// nothing changes.
 	heartbeatInterval = 500 * time.Millisecond
-	// receiveTimeout is the time without a message after which the receiver closes
-	// the connection.
+	// receiveTimeout is the time without a message, or without a further byte of one, after
+	// which the receiver closes the connection.
 	receiveTimeout = 2500 * time.Millisecond
 )
 
@@ -104,7 +104,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	a := &agentConn{conn: conn, listToggled: make(chan struct{}, 1)}
-	if err := conn.Expect(frame.KindAgentHello, &a.hello, h.receiveDeadline()); err != nil {
+	if err := conn.Expect(frame.KindAgentHello, &a.hello, h.cfg.Clock.Now().Add(receiveTimeout)); err != nil {
 		h.cfg.Log.EventWithError(eventAgentGone, err, eventlog.Fields{"peer": conn.Peer()})
 		return
 	}
@@ -122,9 +122,6 @@
 	h.removeAgent(a, err)
 }
 
-// receiveDeadline returns the time by which the next message must arrive.
-func (h *Hub) receiveDeadline() time.Time { return h.cfg.Clock.Now().Add(receiveTimeout) }
-
 // addAgent adds a connection. An older connection for the same backend server is
 // closed and replaced.
 func (h *Hub) addAgent(a *agentConn) {
@@ -168,7 +165,7 @@
 // ends.
 func (h *Hub) receiveStates(a *agentConn) error {
 	for {
-		f, err := a.conn.Receive(h.receiveDeadline())
+		f, err := a.conn.ReceiveWithin(receiveTimeout)
 		if err != nil {
 			return err
 		}
--- a/connection/frame/conn.go
+++ b/connection/frame/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,11 @@
 // stops reading does not block the sender forever.
 const writeTimeout = 10 * time.Second
 
+// maxMessageTime limits how long one message takes to arrive at ReceiveWithin, so that a peer
+// that sends a few bytes at a time does not hold a connection forever. It lets a message of
+// MaxBytes through a link of 5 Mbit/s.
+const maxMessageTime = 30 * time.Second
+
 // The errors of a Conn. They are wrapped with the failed operation and the peer.
 var (
 	// ErrMalformed is returned when a frame cannot be decoded.
@@ -139,7 +145,8 @@
 	return core.WrapStep("send frame", c.peer, c.ws.WriteMessage(websocket.BinaryMessage, raw))
 }
 
-// Receive reads the next frame. A zero deadline means no time limit.
+// Receive reads the next frame. The deadline is for the complete frame; a zero deadline means
+// no time limit. It is for frames that are small; see ReceiveWithin.
 func (c *Conn) Receive(deadline time.Time) (Frame, error) {
 	if err := c.ws.SetReadDeadline(deadline); err != nil {
 		return Frame{}, core.WrapStep("receive frame", c.peer, err)
@@ -148,6 +155,52 @@
 	if err != nil {
 		return Frame{}, core.WrapStep("receive frame", c.peer, err)
 	}
+	return c.parse(messageType, raw)
+}
+
+// ReceiveWithin reads the next frame. It fails if no byte has arrived for the time silence. A
+// frame that keeps arriving may take longer, at most maxMessageTime in all, so that a large one
+// on a slow link does not end the connection. The error tells how much of an unfinished frame
+// had arrived.
+func (c *Conn) ReceiveWithin(silence time.Duration) (Frame, error) {
+	if err := c.ws.SetReadDeadline(time.Now().Add(silence)); err != nil {
+		return Frame{}, core.WrapStep("receive frame", c.peer, err)
+	}
+	messageType, message, err := c.ws.NextReader()
+	if err != nil {
+		return Frame{}, core.WrapStep("receive frame", c.peer, err)
+	}
+	r := &messageReader{message: message, ws: c.ws, silence: silence, end: time.Now().Add(maxMessageTime)}
+	raw, err := io.ReadAll(r)
+	if err != nil {
+		return Frame{}, core.WrapStep("receive frame", c.peer, errors.Wrapf(err, "message broken off after %d bytes", len(raw)))
+	}
+	return c.parse(messageType, raw)
+}
+
+// messageReader reads one message and moves the read deadline of its connection on.
+type messageReader struct {
+	message io.Reader
+	ws      *websocket.Conn
+	silence time.Duration
+	// end is when the message must be complete.
+	end time.Time
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(r.silence)
+	if deadline.After(r.end) {
+		deadline = r.end
+	}
+	if err := r.ws.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return r.message.Read(p)
+}
+
+// parse returns the frame in a received message.
+func (c *Conn) parse(messageType int, raw []byte) (Frame, error) {
 	if messageType != websocket.BinaryMessage {
 		return Frame{}, core.WrapStep("receive frame", c.peer, ErrMalformed)
 	}
--- a/connection/registry/listener.go
+++ b/connection/registry/listener.go
@@ -27,7 +27,7 @@
 	// after which a server is suspect.
 	suspectAfterHeartbeats = 2
 	// goneAfterHeartbeats is the number of heartbeat intervals without any frame
-	// from the agent after which the agent's registration ends.
+	// from the agent, or without a further byte of one, after which the agent's registration ends.
 	goneAfterHeartbeats = 4
 	// maxHeartbeatInterval is the longest accepted heartbeat interval; an agent
 	// that announces a longer interval is treated as if it had announced this one.
@@ -160,7 +160,7 @@
 	return l.receiveFrames(conn, session, hello, registrationNumber)
 }
 
-// receiveFrames handles the agent's frames until the connection ends or no frame
+// receiveFrames handles the agent's frames until the connection ends or nothing
 // arrives for goneAfterHeartbeats heartbeat intervals. It returns nil in both
 // cases, and an error for a frame that it cannot handle.
 func (l *Listener) receiveFrames(conn *frame.Conn, session *confsync.Session, hello frame.Hello, registrationNumber uint64) error {
@@ -168,7 +168,7 @@
 	monitor := l.monitorHeartbeats(hello.Instance.ID, registrationNumber, heartbeatInterval)
 	defer monitor.stop()
 	for {
-		f, err := conn.Receive(time.Now().Add(goneAfterHeartbeats * heartbeatInterval))
+		f, err := conn.ReceiveWithin(goneAfterHeartbeats * heartbeatInterval)
 		if err != nil {
 			return nil
 		}
