--- a/version/rowpatch/copies.go
+++ b/version/rowpatch/copies.go
@@ -7,51 +7,44 @@
 )
 
 const (
-	// blockBytes is the size of the blocks of the base that are indexed. Runs of at
-	// least twice this length are found in the base at any position.
-	blockBytes = 32
-	// minAligned and minMoved are the lengths of the shortest runs that are copied:
-	// those at the position that the previous copy suggests, and others.
+	// blockBytes is the size of the blocks of the base that are indexed. Twice as long a
+	// run contains a block wherever it begins.
+	blockBytes = 48
+	// minAligned and minMoved are the minimum lengths of runs that are copied, for runs at
+	// the same distance between base and value as the previous one and for others.
 	minAligned = 16
-	minMoved   = 64
+	minMoved   = 2 * blockBytes
 
 	hashFactor = 0x9E3779B97F4A7C15
 	slotFactor = 0xD6E8FEB86659FD93
 )
 
-// copied is a run of the value that occurs in the base.
-type copied struct {
+// run is a part of a value that is at the position from of its base.
+type run struct {
 	// literals is the number of bytes between the previous run and this one.
-	literals int
-	length   int
-	// from is the position in the base.
-	from int
+	literals, length, from int
 }
 
-// findCopies returns runs of value that occur in base, in the order of value.
-func findCopies(base, value []byte) []copied {
-	if len(base) < blockBytes {
-		return nil
-	}
+// findCopies returns the runs of value to copy from base, in the order of value.
+func findCopies(base, value []byte) []run {
+	var copies []run
 	index := newIndex(base)
-	var copies []copied
-	// done is the end of the previous run in value, next its end in base.
-	done, next := 0, 0
-	h, hashed := uint64(0), -1
-	for at := 0; at+blockBytes <= len(value); {
-		from, length := next+at-done, 0
-		if from < len(base) {
-			length = commonPrefix(base[from:], value[at:])
-		}
+	// done is the end of the previous run in value, next its end in base. h is the hash of
+	// the block of value at the position hashed.
+	done, next, h, hashed := 0, 0, uint64(0), -1
+	for at := 0; at+blockBytes <= len(value) && len(base) >= blockBytes; {
+		from := min(next+at-done, len(base))
+		length := commonPrefix(base[from:], value[at:])
 		if length < minAligned {
-			if hashed >= 0 && hashed == at-1 {
-				h = rollHash(h, value[at-1], value[at+blockBytes-1])
+			if at > 0 && hashed == at-1 {
+				h = (h-uint64(value[at-1])*oldestFactor)*hashFactor + uint64(value[at+blockBytes-1])
 			} else {
 				h = hashBlock(value[at:])
 			}
 			hashed = at
-			from, length = index.find(h, base, value[at:])
-			for length > 0 && at > done && from > 0 && base[from-1] == value[at-1] {
+			from = index.find(h)
+			length = commonPrefix(base[from:], value[at:])
+			for length >= blockBytes && at > done && from > 0 && base[from-1] == value[at-1] {
 				at, from, length = at-1, from-1, length+1
 			}
 			if length < minMoved {
@@ -59,15 +52,15 @@
 				continue
 			}
 		}
-		copies = append(copies, copied{literals: at - done, length: length, from: from})
-		at += length
-		done, next = at, from+length
+		copies = append(copies, run{literals: at - done, length: length, from: from})
+		done, next = at+length, from+length
+		at = done
 	}
 	return copies
 }
 
 // literalsOf returns the parts of value that are not copied.
-func literalsOf(value []byte, copies []copied) []byte {
+func literalsOf(value []byte, copies []run) []byte {
 	if len(copies) == 0 {
 		return value
 	}
@@ -75,8 +68,7 @@
 	for _, c := range copies {
 		n -= c.length
 	}
-	literals := make([]byte, 0, n)
-	at := 0
+	literals, at := make([]byte, 0, n), 0
 	for _, c := range copies {
 		literals = append(literals, value[at:at+c.literals]...)
 		at += c.literals + c.length
@@ -84,72 +76,47 @@
 	return append(literals, value[at:]...)
 }
 
-// blockIndex finds blocks of a base by their hash. Of blocks for the same slot, it
-// knows the first.
-type blockIndex struct {
-	slots []blockSlot
-	shift int
-}
-
-type blockSlot struct {
-	check uint32
-	// end is the position after the block, or 0 if the slot is empty.
-	end uint32
-}
+// blockIndex finds blocks of a base by their hash. Of blocks with the same slot, it has
+// the first. The upper half of a slot is part of the hash, the lower half the block's
+// position.
+type blockIndex []uint64
 
-// newIndex indexes the blocks at multiples of blockBytes.
-func newIndex(base []byte) *blockIndex {
-	base = base[:min(uint64(len(base)), math.MaxUint32)]
-	slotBits := bits.Len(uint(2 * len(base) / blockBytes))
-	index := &blockIndex{slots: make([]blockSlot, 1<<slotBits), shift: 64 - slotBits}
-	for end := blockBytes; end <= len(base); end += blockBytes {
-		slot, check := index.slot(hashBlock(base[end-blockBytes:]))
-		if slot.end == 0 {
-			*slot = blockSlot{check: check, end: uint32(end)}
+func newIndex(base []byte) blockIndex {
+	index := make(blockIndex, 1<<bits.Len(uint(2*len(base)/blockBytes)))
+	for at := 0; at+blockBytes <= min(len(base), math.MaxUint32); at += blockBytes {
+		if slot, check := index.slot(hashBlock(base[at:])); *slot == 0 {
+			*slot = check | uint64(at)
 		}
 	}
 	return index
 }
 
-func (x *blockIndex) slot(h uint64) (*blockSlot, uint32) {
+// slot returns the slot for a block with the hash h, and the upper half that it has for
+// this block.
+func (x blockIndex) slot(h uint64) (slot *uint64, check uint64) {
 	h *= slotFactor
-	return &x.slots[h>>x.shift], uint32(h)
+	return &x[h>>32&uint64(len(x)-1)], h << 32
 }
 
-// find returns the position in base of an indexed block with which value starts and
-// has the hash h, and the length of the run that value and base have in common there.
-func (x *blockIndex) find(h uint64, base, value []byte) (from, length int) {
-	slot, check := x.slot(h)
-	if slot.end == 0 || slot.check != check {
-		return 0, 0
+// find returns the position of a block that probably has the hash h, or 0.
+func (x blockIndex) find(h uint64) int {
+	if slot, check := x.slot(h); *slot&^math.MaxUint32 == check {
+		return int(*slot & math.MaxUint32)
 	}
-	from = int(slot.end) - blockBytes
-	return from, commonPrefix(base[from:], value)
+	return 0
 }
 
+// oldestFactor is the factor of a block's first byte in its hash.
+var oldestFactor = hashBlock(append([]byte{1}, make([]byte, blockBytes-1)...))
+
 // hashBlock returns the hash of the first blockBytes bytes of b.
-func hashBlock(b []byte) uint64 {
-	var h uint64
+func hashBlock(b []byte) (h uint64) {
 	for _, c := range b[:blockBytes] {
 		h = h*hashFactor + uint64(c)
 	}
 	return h
 }
 
-// outFactor is hashFactor to the power of blockBytes.
-var outFactor = func() uint64 {
-	f := uint64(1)
-	for range blockBytes {
-		f *= hashFactor
-	}
-	return f
-}()
-
-// rollHash moves the block with the hash h by one byte: out leaves, in enters.
-func rollHash(h uint64, out, in byte) uint64 {
-	return h*hashFactor + uint64(in) - outFactor*uint64(out)
-}
-
 // commonPrefix returns the length of the longest common prefix of a and b.
 func commonPrefix(a, b []byte) int {
 	n := min(len(a), len(b))
--- a/version/rowpatch/rowpatch.go
+++ b/version/rowpatch/rowpatch.go
@@ -1,7 +1,21 @@
+// Package rowpatch encodes the value of a store's row for a receiver that may have an
+// earlier value of the row, the base. Patches are small if long runs of the value occur
+// in the base, in whatever order. Neither function keeps memory between calls. All sizes
+// are in bytes.
+//
+// The digests in a patch detect another base and damage; they are no protection from a
+// sender that forges a value.
+//
+// A patch consists of its format, the digests of base and value with 64 bits each, the
+// lengths of the value, of its literals and of the encoded copies, the copies, and the
+// literals. A copy is the length of the literals before it, the length of a run of the
+// base, and the run's position relative to the end of the previous run. Literals that no
+// copy follows are the end of the value. Numbers are varints.
 package rowpatch
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -11,8 +25,8 @@
 var (
 	// ErrBase means that the patch was made from another base.
 	ErrBase = errors.New("patch is for another base")
-	// ErrCorrupt means that the patch is malformed or that it does not result in the
-	// value from which it was made.
+	// ErrCorrupt means that the patch is malformed or makes a value that is not the one
+	// that was encoded.
 	ErrCorrupt = errors.New("patch is corrupt")
 )
 
@@ -23,172 +37,135 @@
 	digestBytes = 8
 	// maxHeaderBytes is the maximum size of a patch without copies and literals.
 	maxHeaderBytes = 1 + 2*digestBytes + 3*binary.MaxVarintLen64
-	// minZstdBytes is the length of literals from which on they are compressed.
+	// minZstdBytes is the length of literals from which on compression is tried.
 	minZstdBytes = 512
-	// zstdWindow is the distance within which literals are compressed.
-	zstdWindow = 256 << 10
-	// minDecoderMemory is more than the window that encoders declare for literals of
-	// up to zstd.MinWindowSize.
+	zstdWindow   = 64 << 10
+	// minDecoderMemory is the largest window that an encoder declares for literals of up
+	// to zstd.MinWindowSize.
 	minDecoderMemory = 2 * zstd.MinWindowSize
 )
 
-// Encode returns a patch from which Apply makes value, given base. With an empty
-// base, the patch is the compressed value.
+// Encode returns a patch from which Apply makes value, given base. With an empty base it
+// is the compressed value.
 func Encode(base, value []byte) ([]byte, error) {
 	copies := findCopies(base, value)
 	literals := literalsOf(value, copies)
 	var encodedCopies []byte
 	next := 0
 	for _, c := range copies {
-		encodedCopies = binary.AppendUvarint(encodedCopies, uint64(c.literals))
-		encodedCopies = binary.AppendUvarint(encodedCopies, uint64(c.length))
-		encodedCopies = binary.AppendVarint(encodedCopies, int64(c.from-next))
+		encodedCopies = appendNumbers(encodedCopies, c.literals, c.length, c.from-next)
 		next = c.from + c.length
 	}
 	format, payload := byte(formatRaw), literals
 	if len(literals) >= minZstdBytes {
-		compressed, err := compress(literals)
+		encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
+			zstd.WithEncoderCRC(false), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(zstdWindow))
 		if err != nil {
-			return nil, err
+			return nil, errors.Wrap(err, "create encoder of literals")
 		}
-		if len(compressed) < len(literals) {
+		if compressed := encoder.EncodeAll(literals, nil); len(compressed) < len(literals) {
 			format, payload = formatZstd, compressed
 		}
 	}
-	patch := make([]byte, 0, maxHeaderBytes+len(encodedCopies)+len(payload))
-	patch = append(patch, format)
+	patch := append(make([]byte, 0, maxHeaderBytes+len(encodedCopies)+len(payload)), format)
 	patch = binary.BigEndian.AppendUint64(patch, xxhash.Sum64(base))
 	patch = binary.BigEndian.AppendUint64(patch, xxhash.Sum64(value))
-	patch = binary.AppendUvarint(patch, uint64(len(value)))
-	patch = binary.AppendUvarint(patch, uint64(len(literals)))
-	patch = binary.AppendUvarint(patch, uint64(len(encodedCopies)))
-	patch = append(patch, encodedCopies...)
-	return append(patch, payload...), nil
+	patch = appendNumbers(patch, len(value), len(literals), len(encodedCopies))
+	return append(append(patch, encodedCopies...), payload...), nil
 }
 
-// Apply returns the value from which Encode made patch, given the same base. The
-// value does not share memory with base or patch. The error is ErrBase if base is
-// not the one from which the patch was made, and ErrCorrupt if the patch or its
-// result is wrong. A value of more than maxBytes is an error.
+// Apply returns the value from which Encode made patch, given the same base. The value
+// shares no memory with base and patch. The error is ErrBase if base is another one, and
+// ErrCorrupt if the patch or its result is wrong. A value of more than maxBytes is an error.
 func Apply(base, patch []byte, maxBytes int) ([]byte, error) {
-	if len(patch) < 1+2*digestBytes {
+	if len(patch) < 1+2*digestBytes || patch[0] != formatRaw && patch[0] != formatZstd {
 		return nil, errors.Wrapf(ErrCorrupt, "header in %d bytes", len(patch))
 	}
-	format, rest := patch[0], patch[1:]
-	if format != formatRaw && format != formatZstd {
-		return nil, errors.Wrapf(ErrCorrupt, "format %d", format)
+	if has, want := xxhash.Sum64(base), binary.BigEndian.Uint64(patch[1:]); has != want {
+		return nil, errors.Wrapf(ErrBase, "base with digest %016x, not %016x", has, want)
 	}
-	if has, want := xxhash.Sum64(base), binary.BigEndian.Uint64(rest); has != want {
-		return nil, errors.Wrapf(ErrBase, "digest %016x, not %016x", has, want)
+	want, r := binary.BigEndian.Uint64(patch[1+digestBytes:]), reader(patch[1+2*digestBytes:])
+	valueBytes, literalBytes, copiesBytes := r.number(), r.number(), r.number()
+	if literalBytes < 0 || literalBytes > valueBytes || copiesBytes < 0 || copiesBytes > int64(len(r)) {
+		return nil, errors.Wrapf(ErrCorrupt, "lengths %d, %d, %d", valueBytes, literalBytes, copiesBytes)
 	}
-	digest, r := binary.BigEndian.Uint64(rest[digestBytes:]), reader(rest[2*digestBytes:])
-	valueBytes, ok1 := r.uvarint()
-	literalBytes, ok2 := r.uvarint()
-	copiesBytes, ok3 := r.uvarint()
-	if !ok1 || !ok2 || !ok3 || literalBytes > valueBytes || copiesBytes > uint64(len(r)) {
-		return nil, errors.Wrap(ErrCorrupt, "lengths")
-	}
-	if valueBytes > uint64(max(maxBytes, 0)) {
+	if valueBytes > int64(maxBytes) {
 		return nil, errors.Errorf("value has %d bytes, more than the limit of %d", valueBytes, maxBytes)
 	}
-	copies, payload := r[:copiesBytes], r[copiesBytes:]
 	value := make([]byte, valueBytes)
-	// The literals are decoded into the end of the value. The part of the value that
-	// is still to be made is never shorter than the literals that are still to be used,
-	// so these aren't overwritten before their use.
-	if err := decodeLiterals(value[valueBytes-literalBytes:], payload, format); err != nil {
+	// The literals are decoded into the end of the value. What is still to be made of the
+	// value is never shorter than the literals still to be used, so none is overwritten
+	// before its use.
+	if err := decodeLiterals(value[valueBytes-literalBytes:], r[copiesBytes:], patch[0]); err != nil {
 		return nil, err
 	}
-	if !copies.run(base, value, int(literalBytes)) {
-		return nil, errors.Wrap(ErrCorrupt, "copies")
+	if !r[:copiesBytes].copyRuns(base, value, literalBytes) {
+		return nil, errors.Wrapf(ErrCorrupt, "copies for a value of %d bytes", valueBytes)
 	}
-	if has := xxhash.Sum64(value); has != digest {
-		return nil, errors.Wrapf(ErrCorrupt, "value with digest %016x, not %016x", has, digest)
+	if has := xxhash.Sum64(value); has != want {
+		return nil, errors.Wrapf(ErrCorrupt, "value with digest %016x, not %016x", has, want)
 	}
 	return value, nil
 }
 
-// reader is the unread part of a patch.
-type reader []byte
+// decodeLiterals fills literals from payload.
+func decodeLiterals(literals, payload []byte, format byte) error {
+	if format == formatZstd {
+		decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecodeAllCapLimit(true),
+			zstd.WithDecoderMaxMemory(uint64(max(len(literals), minDecoderMemory))))
+		if err != nil {
+			return errors.Wrap(err, "create decoder of literals")
+		}
+		defer decoder.Close()
+		if payload, err = decoder.DecodeAll(payload, literals[:0:len(literals)]); err != nil {
+			return errors.Wrapf(ErrCorrupt, "decode literals: %v", err)
+		}
+	}
+	if len(payload) != len(literals) {
+		return errors.Wrapf(ErrCorrupt, "%d bytes of literals, not %d", len(payload), len(literals))
+	}
+	copy(literals, payload)
+	return nil
+}
 
-func (r *reader) uvarint() (uint64, bool) {
-	v, n := binary.Uvarint(*r)
-	if n <= 0 {
-		return 0, false
+// appendNumbers appends the encoded numbers to b.
+func appendNumbers(b []byte, numbers ...int) []byte {
+	for _, n := range numbers {
+		b = binary.AppendVarint(b, int64(n))
 	}
-	*r = (*r)[n:]
-	return v, true
+	return b
 }
 
-func (r *reader) varint() (int64, bool) {
+// reader is the unread part of a patch.
+type reader []byte
+
+// number returns the next number, or math.MinInt64, which is no length or position, if
+// there is none.
+func (r *reader) number() int64 {
 	v, n := binary.Varint(*r)
 	if n <= 0 {
-		return 0, false
+		return math.MinInt64
 	}
 	*r = (*r)[n:]
-	return v, true
+	return v
 }
 
-// run makes value from base and the literals at the end of value. It reports whether
-// the copies are well-formed and make the whole value.
-func (r reader) run(base, value []byte, literals int) bool {
-	done, next := 0, 0
+// copyRuns makes value from the literals at its end and the runs of base that the copies
+// in r name. It reports whether these are valid and make the whole value.
+func (r reader) copyRuns(base, value []byte, literals int64) bool {
+	var done, next int64
 	for len(r) > 0 {
-		before, ok1 := r.uvarint()
-		length, ok2 := r.uvarint()
-		shift, ok3 := r.varint()
-		if !ok1 || !ok2 || !ok3 || before > uint64(literals) {
-			return false
-		}
-		done += copy(value[done:], value[len(value)-literals:][:before])
-		literals -= int(before)
-		// Neither difference can overflow: next is between 0 and len(base).
-		if shift < int64(-next) || shift > int64(len(base)-next) {
+		before, length, shift := r.number(), r.number(), r.number()
+		if before < 0 || before > literals || shift < -next || shift > int64(len(base))-next {
 			return false
 		}
-		next += int(shift)
-		if length > uint64(len(base)-next) || length > uint64(len(value)-literals-done) {
+		done += int64(copy(value[done:], value[int64(len(value))-literals:][:before]))
+		literals, next = literals-before, next+shift
+		if length < 0 || length > int64(len(base))-next || length > int64(len(value))-literals-done {
 			return false
 		}
-		done += copy(value[done:], base[next:][:length])
-		next += int(length)
-	}
-	return done+literals == len(value)
-}
-
-// compress compresses literals without a checksum.
-func compress(literals []byte) ([]byte, error) {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
-		zstd.WithEncoderCRC(false), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithWindowSize(zstdWindow))
-	if err != nil {
-		return nil, errors.Wrap(err, "create encoder")
-	}
-	return encoder.EncodeAll(literals, nil), nil
-}
-
-// decodeLiterals fills literals from payload.
-func decodeLiterals(literals, payload []byte, format byte) error {
-	if format == formatRaw {
-		if len(payload) != len(literals) {
-			return errors.Wrapf(ErrCorrupt, "%d bytes of literals, not %d", len(payload), len(literals))
-		}
-		copy(literals, payload)
-		return nil
+		done += int64(copy(value[done:], base[next:][:length]))
+		next += length
 	}
-	limit := uint64(max(len(literals), minDecoderMemory))
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(limit), zstd.WithDecodeAllCapLimit(true))
-	if err != nil {
-		return errors.Wrap(err, "create decoder")
-	}
-	defer decoder.Close()
-	decoded, err := decoder.DecodeAll(payload, literals[:0:len(literals)])
-	if err != nil {
-		return errors.Wrapf(ErrCorrupt, "decode literals: %v", err)
-	}
-	if len(decoded) != len(literals) {
-		return errors.Wrapf(ErrCorrupt, "%d bytes of literals, not %d", len(decoded), len(literals))
-	}
-	copy(literals, decoded)
-	return nil
+	return done+literals == int64(len(value))
 }
