--- a/version/rowpatch/rowpatch_test.go
+++ b/version/rowpatch/rowpatch_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+	"github.com/klauspost/compress/zstd"
 )
 
 const testLimit = 8 << 20
@@ -155,3 +160,100 @@
 		}
 	}
 }
+
+// patchOf returns a patch for hostileBase with the digest of another value.
+func patchOf(format byte, valueBytes, literalBytes, copiesBytes int, rest []byte) []byte {
+	patch := binary.BigEndian.AppendUint64([]byte{format}, xxhash.Sum64(hostileBase))
+	patch = binary.BigEndian.AppendUint64(patch, 1)
+	return append(appendNumbers(patch, valueBytes, literalBytes, copiesBytes), rest...)
+}
+
+// zeroFrame returns a zstd frame of n zeros, without its length if sized is false.
+func zeroFrame(t *testing.T, n int, sized bool) []byte {
+	t.Helper()
+	var b bytes.Buffer
+	w, err := zstd.NewWriter(&b, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if sized {
+		return w.EncodeAll(make([]byte, n), nil)
+	}
+	if _, err := w.Write(make([]byte, n)); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return b.Bytes()
+}
+
+var hostileBase = []byte("base")
+
+// copiesPatch returns a patch without literals, with copies of the given numbers.
+func copiesPatch(valueBytes int, numbers ...int) []byte {
+	copies := appendNumbers(nil, numbers...)
+	return patchOf(formatRaw, valueBytes, 0, len(copies), copies)
+}
+
+func TestApplyAllocatesWithinLimit(t *testing.T) {
+	const limit, constant = 3 << 20, 1 << 20
+	sized, unsized := zeroFrame(t, 64<<20, true), zeroFrame(t, 64<<20, false)
+	for name, patch := range map[string][]byte{
+		"longest value":      patchOf(formatZstd, math.MaxInt, math.MaxInt, 0, sized),
+		"negative value":     patchOf(formatZstd, -1, -1, -1, sized),
+		"long value":         patchOf(formatZstd, limit+1, 0, 0, sized),
+		"more literals":      patchOf(formatZstd, 10, 20, 0, sized),
+		"longest copies":     patchOf(formatZstd, limit, limit, math.MaxInt, sized),
+		"long frame":         patchOf(formatZstd, limit, limit, 0, sized),
+		"long frame, no fit": patchOf(formatZstd, limit, 0, 0, sized),
+		"unknown length":     patchOf(formatZstd, limit, limit, 0, unsized),
+		"unknown, no fit":    patchOf(formatZstd, limit, 1, 0, unsized),
+		"many frames":        patchOf(formatZstd, limit, limit, 0, bytes.Repeat(zeroFrame(t, limit, true), 9)),
+		"window of 3.75 TB":  patchOf(formatZstd, limit, limit, 0, []byte{0x28, 0xb5, 0x2f, 0xfd, 0, 0xff, 1, 0, 0}),
+		"copy beyond base":   copiesPatch(limit, 0, limit, 0),
+		"copy beyond value":  copiesPatch(3, 0, 4, 0),
+		"too few copies":     copiesPatch(5, 0, 4, 0),
+		"longest copy":       copiesPatch(limit, 0, math.MaxInt, 0),
+		"longest shift":      copiesPatch(limit, 0, 1, 0, 0, 1, math.MaxInt),
+		"lowest shift":       copiesPatch(limit, 0, 1, 0, 0, 1, math.MinInt),
+		"shift to the end":   copiesPatch(limit, 0, 0, 4, 0, 1, 0),
+		"missing literal":    copiesPatch(limit, 1, 1, 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			got, err := Apply(hostileBase, patch, limit)
+			runtime.ReadMemStats(&after)
+			if err == nil || got != nil {
+				t.Errorf("value of %d bytes, error %v", len(got), err)
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > limit+constant {
+				t.Errorf("%d bytes were allocated", n)
+			}
+		})
+	}
+}
+
+// FuzzApply checks that Apply neither panics nor exceeds its limit. The digest of the
+// base is corrected, so that damage behind it is reached.
+func FuzzApply(f *testing.F) {
+	rng := rand.New(rand.NewPCG(4, 58))
+	base := randomBytes(rng, 2000, 16)
+	for _, value := range [][]byte{nil, base, edited(rng, base, 16), randomBytes(rng, 2000, 4)} {
+		f.Add(base, roundTrip(f, base, value), 4000)
+		f.Add([]byte(nil), roundTrip(f, nil, value), 4000)
+	}
+	f.Fuzz(func(t *testing.T, base, patch []byte, limit int) {
+		limit = min(limit, testLimit)
+		roundTrip(t, base, patch)
+		if len(patch) >= 1+digestBytes {
+			patch = bytes.Clone(patch)
+			binary.BigEndian.PutUint64(patch[1:], xxhash.Sum64(base))
+		}
+		got, err := Apply(base, patch, limit)
+		if len(got) > max(limit, 0) || err != nil && got != nil {
+			t.Errorf("value of %d bytes for a limit of %d, error %v", len(got), limit, err)
+		}
+	})
+}
