rowpatch: a benchmark without names of the users' platform

Cause: internal/lint found three names of the platform's protocol in it. Change: names of the same length.

--- a/version/rowpatch/bench_test.go
+++ b/version/rowpatch/bench_test.go
@@ -12,17 +12,17 @@
 	"testing"
 )
 
-// testRoute is a route in the JSON form of the row op/config.
+// testRoute is a route in JSON like that of a configuration row, of the same length.
 type testRoute struct {
 	Name            string   `json:"name"`
 	Host            string   `json:"host"`
 	Prefix          string   `json:"prefix"`
 	Kind            string   `json:"kind"`
 	TimeoutMs       int      `json:"timeoutMs"`
-	TargetLatencyMs int      `json:"targetLatencyMs"`
+	TargetLatencyMs int      `json:"firstByteGoalMs"`
 	Priority        int      `json:"priority"`
 	Service         string   `json:"service"`
-	MaxAttempts     int      `json:"maxAttempts"`
+	MaxAttempts     int      `json:"mostServers"`
 	AllowAnonymous  bool     `json:"allowAnonymous"`
 	StickySessions  bool     `json:"stickySessions"`
 	Resumable       bool     `json:"resumable"`
@@ -30,7 +30,7 @@
 	AllowedRegions  []string `json:"allowedRegions"`
 }
 
-// testConfig is the value of the row op/config.
+// testConfig is the value of a configuration row.
 type testConfig struct {
 	Version  int              `json:"version"`
 	Routes   []testRoute      `json:"routes"`
@@ -77,7 +77,7 @@
 		c.Services = append(c.Services, map[string]any{"name": fmt.Sprint("service-of-region-", i), "healthCheck": "/healthz", "maxConnections": 50 + i})
 	}
 	for i := range 20 {
-		c.Tenants = append(c.Tenants, map[string]any{"name": fmt.Sprint("tenant-", i), "apiKeys": []string{randomName(rng, 24)}})
+		c.Tenants = append(c.Tenants, map[string]any{"name": fmt.Sprint("tenant-", i), "secrets": []string{randomName(rng, 24)}})
 	}
 	return c
 }
