registry: a test waits until the agent is registered

TestLargeFrameOfAnAgentOnASlowLink read the registration number right after the Welcome frame, which is sent before the agent is registered. Under load it got 0 and failed ("Expected: 0, Actual: 1"): in 3 of 10 parallel runs of -test.count=2 with -race. It now waits for the registration; the check is the same.

--- a/connection/registry/slowlink_test.go
+++ b/connection/registry/slowlink_test.go
@@ -37,6 +37,9 @@
 		So(conn.Send(frame.KindHello, frame.Hello{Instance: core.Instance{ID: "gpu-1"}, Incarnation: "i1", Report: report}), ShouldBeNil)
 		var welcome frame.Welcome
 		So(conn.Expect(frame.KindWelcome, &welcome, time.Now().Add(10*time.Second)), ShouldBeNil)
+		// The agent is registered after the Welcome frame.
+		isRegistered := func() bool { _, ok := registry.Get("gpu-1"); return ok }
+		So(wait.Until(isRegistered), ShouldBeTrue)
 		registered, _ := registry.Get("gpu-1")
 
 		large := strings.Repeat("m", int(2*goneAfterHeartbeats*heartbeat/time.Second)*slowlink.BytesPerSecond)
