Entry instances that read nothing count among those of their data centre

All entry instances of a data centre read the store although one reads for them, and a large configuration crosses the link between two regions once for each.

Cause: a heartbeat without ages of reads, of an instance that relies on others, was encoded without the field and taken for a report that is no heartbeat. Such instances did not count. Once fewer than four of a data centre read a table, the others saw no data centre that shares its reads, and all began to read.

Change: the field is always encoded; nil still marks a report that is no heartbeat. Builds before send no empty maps and read them as nil or empty.

--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -73,8 +73,8 @@
 	Entries []EntryAddr `cbor:"9,keyasint,omitempty"`
 	// ReadAgesMs holds, by table, the time since the store last responded to the
 	// sender, in milliseconds. A table is missing while the store does not respond.
-	// It is only sent with heartbeats.
-	ReadAgesMs map[catalog.Table]int64 `cbor:"10,keyasint,omitempty"`
+	// It is nil except in heartbeats; an empty map tells that the sender reads no table.
+	ReadAgesMs map[catalog.Table]int64 `cbor:"10,keyasint"`
 	// Evidence is what has been observed at backend servers since the last message.
 	Evidence Evidence `cbor:"11,keyasint,omitzero"`
 	// DeclaredEra and ServersEra are the store's eras to which DeclaredRevision and
