Entry instances send each other patches of large rows

Cause: one row of the store holds the whole configuration, 1.1 MB for 3,050 routes, and each change of one route sent all of it from the reader of a data centre to each of its peers, and from there to each instance that requested the table in other regions. Over 28 Mbit/s between two regions the copies of the first change were still on the way when the next ones came.

Class: the cost of a change grows with the size of the state times the number of instances.

Change: a row of 4 KB or more travels as a patch against the value that the receiver has (version/rowpatch). The reader makes the patch once, and whoever applies it keeps it, up to 256 KB and 32 patches a row, and passes it on. A request for a table names the revisions that the requester has: rows that it has come without a value, others as patches, or compressed if these are not known. A patch names the digests of both values; where they differ, the whole table is requested. Builds before neither ask for patches nor get them.

--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -35,6 +35,8 @@
 		"The connection to or from another entry instance failed or ended; the side that opened it dials again.")
 	eventTablesRequested = eventlog.Define(152, "exchange-want", logrus.InfoLevel,
 		"Another entry instance has a newer revision of a table than the store has delivered to this entry instance, which requests the table from the other.")
+	eventTableRejected = eventlog.Define(156, "exchange-table-rejected", logrus.WarnLevel,
+		"A table that another entry instance sent could not be adopted, because this process does not have the values that its patches change; the complete table is requested.")
 	eventFollowing = eventlog.Define(153, "exchange-follow", logrus.InfoLevel,
 		"This entry instance receives the load and the agents of another data centre from an entry instance there.")
 	eventFollowingEnded = eventlog.Define(154, "exchange-follow-gone", logrus.InfoLevel,
@@ -289,7 +291,7 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	hello := frame.EntryHello{Instance: x.cfg.Self, RequestsHello: true}
+	hello := frame.EntryHello{Instance: x.cfg.Self, RequestsHello: true, Patches: true}
 	if err := conn.Send(frame.KindEntryHello, hello); err != nil {
 		return err
 	}
@@ -382,7 +384,7 @@
 	x.AddPeer(peer.Addr, peer.DataCentre)
 	x.retryStore()
 	if hello.RequestsHello {
-		err = conn.Send(frame.KindEntryHello, frame.EntryHello{Instance: x.cfg.Self})
+		err = conn.Send(frame.KindEntryHello, frame.EntryHello{Instance: x.cfg.Self, Patches: true})
 	}
 	switch {
 	case err != nil:
--- a/connection/exchange/metrics.go
+++ b/connection/exchange/metrics.go
@@ -10,7 +10,7 @@
 type exchangeMetrics struct {
 	// tablesRequested, tablesSent and tablesAdopted count complete tables that this entry
 	// instance requested from peers, sent to them and adopted from them. tableBytesSent
-	// counts the bytes of the rows that were sent.
+	// counts the bytes of the values and patches that were sent.
 	tablesRequested, tablesSent, tableBytesSent, tablesAdopted gometrics.Counter
 	// changesSent and changesDropped count messages with changes of a table, by peer:
 	// those that were sent, and those that a full queue did not take.
@@ -40,6 +40,9 @@
 	size := 0
 	for _, r := range c.Rows {
 		size += len(r.Value)
+		for _, patch := range r.Patches {
+			size += len(patch)
+		}
 	}
 	m.tablesSent.Inc(1)
 	m.tableBytesSent.Inc(int64(size))
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -74,9 +74,7 @@
 		if err := f.Decode(&t); err != nil {
 			return err
 		}
-		if r.x.follower(t.Table).AdoptIfNewer(t.Content, r.source) {
-			r.x.metrics.tablesAdopted.Inc(1)
-		}
+		return r.adoptTable(t)
 	case frame.KindTableChanges:
 		var c frame.TableChanges
 		if err := f.Decode(&c); err != nil {
@@ -88,6 +86,21 @@
 	return nil
 }
 
+// adoptTable adopts a table that was requested.
+func (r *receiver) adoptTable(t frame.TableState) error {
+	x := r.x
+	changes, err := x.follower(t.Table).AdoptIfNewer(t.Content, r.source)
+	if err != nil {
+		// The values changed here while the response was on its way.
+		x.cfg.Log.EventWithError(eventTableRejected, err, eventlog.Fields{"peer": r.source, "table": t.Table.Name()})
+		return x.requestTable(r.conn, r.source, t.Table, nil)
+	}
+	if changes.Until > 0 {
+		x.metrics.tablesAdopted.Inc(1)
+	}
+	return nil
+}
+
 // applyLoad stores the reported load. The load of a peer in a data centre that is
 // followed is left out, because it is included in the load of the data centre.
 func (r *receiver) applyLoad(update frame.LoadUpdate) error {
@@ -125,7 +138,7 @@
 	if err := x.cfg.Evidence.MergeEvidence(update.Evidence, r.dataCentre == x.cfg.Self.DataCentre); err != nil {
 		x.cfg.Log.EventWithError(eventEvidenceRejected, err, eventlog.Fields{"peer": r.source})
 	}
-	return x.requestTables(r.conn, r.source, update, lags)
+	return x.requestTables(r, update, lags)
 }
 
 // applyAges stores the ages of declared versions that a peer sent.
@@ -138,25 +151,35 @@
 }
 
 // requestTables requests from the peer each table of which the peer has a revision
-// that has not been delivered here for too long; see lag.overdue. A table that was
-// requested within maxLag is not requested again. A table that another entry instance
-// reads for this one is read from the store instead.
-func (x *Exchange) requestTables(conn *frame.Conn, peer string, update frame.LoadUpdate, lags map[catalog.Table]*lag) error {
-	var request frame.TableRequest
+// that has not been delivered here for too long; see lag.overdue. A table that
+// was requested a short time ago is not requested again. A table that another entry
+// instance reads for this one is read from the store instead.
+func (x *Exchange) requestTables(r *receiver, update frame.LoadUpdate, lags map[catalog.Table]*lag) error {
 	now := x.cfg.Clock.Now()
 	for t, peerChange := range map[catalog.Table]catalog.Position{
 		catalog.TableDeclared: {Era: update.DeclaredEra, Revision: update.DeclaredRevision},
 		catalog.TableServers:  {Era: update.ServersEra, Revision: update.ServersRevision},
 	} {
-		x.follower(t).ObservePeerPosition(peer, peerChange)
-		if lags[t].overdue(x.follower(t).LastChange(), peerChange, now) && x.allowRequest(t, now) && !x.follower(t).PollNow() {
-			request.Tables = append(request.Tables, t)
+		follower := x.follower(t)
+		follower.ObservePeerPosition(r.source, peerChange)
+		if !lags[t].overdue(follower.LastChange(), peerChange, now) || !x.allowRequest(t, now) || follower.PollNow() {
+			continue
+		}
+		var held map[catalog.Table]frame.HeldRows
+		if t == catalog.TableDeclared {
+			revisions, era := follower.Revisions()
+			held = map[catalog.Table]frame.HeldRows{t: {Revisions: revisions, Era: era}}
+		}
+		if err := x.requestTable(r.conn, r.source, t, held); err != nil {
+			return err
 		}
 	}
-	if len(request.Tables) == 0 {
-		return nil
-	}
-	x.metrics.tablesRequested.Inc(int64(len(request.Tables)))
-	x.cfg.Log.Event(eventTablesRequested, eventlog.Fields{"peer": peer, "tables": len(request.Tables)})
-	return conn.Send(frame.KindTableRequest, request)
+	return nil
+}
+
+// requestTable requests one table from the peer at the other end of conn.
+func (x *Exchange) requestTable(conn *frame.Conn, peer string, t catalog.Table, held map[catalog.Table]frame.HeldRows) error {
+	x.metrics.tablesRequested.Inc(1)
+	x.cfg.Log.Event(eventTablesRequested, eventlog.Fields{"peer": peer, "table": t.Name()})
+	return conn.Send(frame.KindTableRequest, frame.TableRequest{Tables: []catalog.Table{t}, Held: held})
 }
--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanway/rattanway/connection/frame"
@@ -39,6 +40,8 @@
 	sentEntryCount int
 	// sentEvidence is the number of the last change of evidence that the receiver has.
 	sentEvidence uint64
+	// takesPatches is true if the receiver takes patches of rows.
+	takesPatches atomic.Bool
 	// lastHeartbeat is the time of the last heartbeat; zero before the first report.
 	lastHeartbeat time.Time
 }
@@ -73,7 +76,7 @@
 			case err := <-requestsEnded:
 				return err
 			case c := <-changes:
-				if err := s.conn.Send(frame.KindTableChanges, c); err != nil {
+				if err := s.conn.Send(frame.KindTableChanges, s.encodable(c)); err != nil {
 					return err
 				}
 				s.x.metrics.changesSent.Inc(1)
@@ -84,6 +87,22 @@
 	}
 }
 
+// encodable returns c as the receiver takes it: rows have either patches or values.
+func (s *sender) encodable(c frame.TableChanges) frame.TableChanges {
+	patches := s.takesPatches.Load()
+	rows := make([]catalog.Row, 0, len(c.Changes.Rows))
+	for _, r := range c.Changes.Rows {
+		if patches {
+			r = r.WithoutValue()
+		} else {
+			r = r.WithoutPatches()
+		}
+		rows = append(rows, r)
+	}
+	c.Changes.Rows = rows
+	return c
+}
+
 // sendReport sends what has changed since the last report, and a heartbeat if one is
 // due.
 func (s *sender) sendReport(now time.Time) error {
@@ -204,6 +223,7 @@
 				return err
 			}
 			s.x.AddPeer(hello.Instance.Addr, hello.Instance.DataCentre)
+			s.takesPatches.Store(hello.Patches)
 		case frame.KindTableRequest:
 			if err := s.sendTables(f); err != nil {
 				return err
@@ -222,7 +242,12 @@
 		if t != catalog.TableDeclared && t != catalog.TableServers {
 			continue
 		}
-		content := s.x.follower(t).Content()
+		content := catalog.TableContent{}
+		if held, ok := request.Held[t]; ok {
+			content = s.x.follower(t).ContentSince(held.Revisions, held.Era)
+		} else {
+			content = s.x.follower(t).Content()
+		}
 		if err := s.conn.Send(frame.KindTable, frame.TableState{Table: t, Content: content}); err != nil {
 			return err
 		}
--- a/connection/frame/fleet.go
+++ b/connection/frame/fleet.go
@@ -30,6 +30,9 @@
 	// Subscribes is true if the receiver reports the load of its whole data centre
 	// on this connection. Otherwise the sender reports its own load.
 	Subscribes bool `cbor:"3,keyasint,omitempty"`
+	// Patches is true if the sender of the message takes patches in place of values of rows
+	// in TableChanges.
+	Patches bool `cbor:"4,keyasint,omitempty"`
 }
 
 // EntryAddr is the address of an entry instance.
@@ -190,6 +193,18 @@
 	// Tables are the tables of which the requester has an older revision than its
 	// peer.
 	Tables []catalog.Table `cbor:"1,keyasint"`
+	// Held are the rows of these tables that the requester has. The response has patches of
+	// these rows, or nothing, in place of their values. Of a table that is missing here, the
+	// response has all values.
+	Held map[catalog.Table]HeldRows `cbor:"2,keyasint,omitempty"`
+}
+
+// HeldRows are the rows of a table that an entry instance has.
+type HeldRows struct {
+	// Revisions are the revisions of the rows by key.
+	Revisions map[string]uint64 `cbor:"1,keyasint"`
+	// Era is the store's era to which the revisions belong.
+	Era uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // TableState is the content of a table.
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -50,34 +50,54 @@
 }
 
 // AdoptIfNewer replaces the table's content with content, which another entry
-// instance sent, if content is newer, and reports whether it was. from names that entry
-// instance, for the log.
-func (f *Follower) AdoptIfNewer(content TableContent, from string) bool {
+// instance sent, if content is newer. from names that entry instance, for the log. If
+// content has patches of values that this process does not have, AdoptIfNewer returns an
+// error and changes nothing. The result are the changes to what ApplyFromPeer and the
+// store delivered before: with an Until of 0 if content is not newer, and without rows if
+// it is of another era of the store.
+func (f *Follower) AdoptIfNewer(content TableContent, from string) (RowChanges, error) {
 	if !f.LastChange().Before(content.lastChange()) {
-		return false
+		return RowChanges{}, nil
 	}
 	f.log.Event(eventTableFromPeer, eventlog.Fields{
 		"table": f.table.Name(), "from": from, "revision": content.ChangeRevision, "before": f.LastChange().Revision, "era": content.Era,
 	})
-	f.replaceContent(content, cmp.Or(from, "peer"))
-	return true
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !(Position{f.era, f.changeRevision}).Before(content.lastChange()) {
+		return RowChanges{}, nil
+	}
+	received := content.Rows
+	if err := f.expandContent(&content); err != nil {
+		return RowChanges{}, err
+	}
+	changes := f.changesTo(content, received)
+	f.replaceContentLocked(content, cmp.Or(from, "peer"))
+	return changes, nil
 }
 
 // replaceContent replaces the complete content of the table. It does nothing if content
-// is of an older era, or if a peer sent it and content is not newer than the present
-// content. peer is empty if content was read from the store.
-func (f *Follower) replaceContent(content TableContent, peer string) {
+// is of an older era.
+func (f *Follower) replaceContent(content TableContent) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if peer != "" && !(Position{f.era, f.changeRevision}).Before(content.lastChange()) || content.Era < f.era {
-		return
+	if content.Era >= f.era {
+		f.replaceContentLocked(content, "")
 	}
+}
+
+// replaceContentLocked is replaceContent for callers that hold f.mu, with content of f.era
+// or a newer one. peer is empty if content was read from the store.
+func (f *Follower) replaceContentLocked(content TableContent, peer string) {
 	now := f.clock.Now()
 	firstRead := f.changeRevision == 0
 	newEra := !firstRead && content.Era > f.era
 	if newEra {
 		f.enterEra(content, now)
 	}
+	if content.Era != f.era {
+		f.patches = patchHistory{}
+	}
 	old := f.rows
 	f.rows = map[string]Row{}
 	var changes []Change
--- a/version/catalog/events.go
+++ b/version/catalog/events.go
@@ -27,6 +27,8 @@
 		"The store no longer keeps all changes since the last revision that was read; the complete table is read again.")
 	eventStoreRestored = eventlog.Define(230, "store-restored", logrus.InfoLevel,
 		"The store has come back from a copy, in a new era: what was written since the copy is gone, and revisions are given out again. The complete table of the new era replaces the one before.")
+	eventPatchRejected = eventlog.Define(233, "catalog-patch-rejected", logrus.WarnLevel,
+		"Changes from another entry instance could not be applied, because this process does not have the values that they change; it gets the table in another way.")
 	eventTableFromPeer = eventlog.Define(229, "catalog-relayed", logrus.InfoLevel,
 		"A newer copy of a table was adopted from another entry instance.")
 	eventTableLate = eventlog.Define(231, "catalog-late", logrus.WarnLevel,
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -79,6 +79,10 @@
 	heldBack map[string]Row
 	// gone holds the servers that left within maxCopyAge, by ID.
 	gone map[string]goneServer
+	// patches holds the newest changes of large values, to be sent to peers.
+	patches patchHistory
+	// compressing is held while a value is compressed, so that it is done once for all peers.
+	compressing sync.Mutex
 
 	// cancelCall ends the call in flight; nil without one. retryNow ends the pause after a
 	// failed call, and lastRetryNow is the last time that RetryNow did anything.
@@ -106,7 +110,7 @@
 		table: t, source: source, holder: holder, log: log, clock: clock,
 		rows: map[string]Row{}, missingRows: map[string]Row{}, heldBack: map[string]Row{}, gone: map[string]goneServer{},
 		lastResponseAt: clock.Now(), serverHeartbeat: defaultServerHeartbeat,
-		pollNow: make(chan struct{}, 1), retryNow: make(chan struct{}, 1),
+		patches: patchHistory{}, pollNow: make(chan struct{}, 1), retryNow: make(chan struct{}, 1),
 	}
 }
 
@@ -177,7 +181,11 @@
 		return core.WrapStep("follow "+f.table.Name(), "", err)
 	}
 	f.markAvailable()
+	before := f.largeRows(rows)
 	f.applyRows(rows, position)
+	if f.onRead != nil {
+		f.addPatches(before, rows, position.Era)
+	}
 	f.shareRead(rows, position, false)
 	return nil
 }
@@ -193,7 +201,7 @@
 		return core.WrapStep("follow "+f.table.Name(), "", checkEra(before, position.Era))
 	}
 	f.markAvailable()
-	f.replaceContent(TableContent{Rows: rows, ChangeRevision: newestRevision(rows), ReadRevision: position.Revision, Era: position.Era}, "")
+	f.replaceContent(TableContent{Rows: rows, ChangeRevision: newestRevision(rows), ReadRevision: position.Revision, Era: position.Era})
 	f.shareRead(nil, position, position.Era > before)
 	return nil
 }
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"time"
+
+	"github.com/rattanway/rattanway/process/eventlog"
 )
 
 const (
@@ -78,6 +80,11 @@
 func (f *Follower) PollNow() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.pollNowLocked()
+}
+
+// pollNowLocked is PollNow for callers that hold f.mu.
+func (f *Follower) pollNowLocked() bool {
 	if !f.idle {
 		return false
 	}
@@ -102,8 +109,8 @@
 
 // ApplyFromPeer applies changes that a peer has read from the store. The grace period after
 // an outage holds here too, unless the store responded to others meanwhile. If changes
-// before them are missing here, or if they are of a newer era of the store, it applies
-// nothing and makes the Follower read the store. It also does that if they name no era,
+// before them are missing here, or the values that their patches change, or if they are of a
+// newer era of the store, it applies nothing and makes the Follower read the store. It also does that if they name no era,
 // because they come from an earlier build. Changes of an older era are ignored.
 func (f *Follower) ApplyFromPeer(c RowChanges) {
 	f.mu.Lock()
@@ -116,6 +123,12 @@
 		return
 	}
 	defer f.mu.Unlock()
+	rows, err := f.expandAll(c.Rows)
+	if err != nil {
+		f.log.EventWithError(eventPatchRejected, err, eventlog.Fields{"table": f.table.Name(), "until": c.Until})
+		f.pollNowLocked()
+		return
+	}
 	now := f.clock.Now()
 	restoredAt := now.Add(time.Duration(c.GraceMs)*time.Millisecond - missingGracePeriod)
 	if c.GraceMs == 0 {
@@ -124,7 +137,7 @@
 		!f.contacts.during(restoredAt, outage) && f.mayHaveLapsed("", restoredAt, outage) {
 		f.restoredAt, f.outage = restoredAt, outage
 	}
-	f.applyRowsLocked(c.Rows, c.Until, cmp.Or(c.From, "peer"))
+	f.applyRowsLocked(rows, c.Until, cmp.Or(c.From, "peer"))
 	f.sharedUntil = max(f.sharedUntil, c.Until)
 }
 
--- a/version/catalog/source.go
+++ b/version/catalog/source.go
@@ -36,6 +36,11 @@
 	Revision uint64 `cbor:"3,keyasint"`
 	// Deleted reports whether the row was deleted.
 	Deleted bool `cbor:"4,keyasint,omitempty"`
+	// Patches make the value from the one that the row had at the revision Base, one after
+	// the other; a Base of 0 stands for an empty value. Between entry instances they stand
+	// in place of Value.
+	Base    uint64   `cbor:"5,keyasint,omitempty"`
+	Patches [][]byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Errors of a Source.
