A table that is on its way is requested again after times that double

Over a busy link, copies of a table queue up behind the first one.

Cause: an instance that lacked a revision requested the table from one peer after another, every 0.4 s, whether or not a response was on its way.

Change: the time doubles with each request that has no response, up to 1.6 s, and begins anew with a response. An endless queue of copies is bounded, and a peer that is gone costs no more than before at the first request.

TestRequestsForATableOnItsWay fails before: a request every 0.4 s.

--- a/connection/exchange/behind_test.go
+++ b/connection/exchange/behind_test.go
@@ -23,7 +23,7 @@
 		b.declaredFollower.AdoptIfNewer(content(6), "store")
 		a.declaredFollower.AdoptIfNewer(content(7), "store")
 		// Without a request b stays behind.
-		b.lastRequested[catalog.TableDeclared] = time.Now().Add(time.Hour)
+		b.requests[catalog.TableDeclared] = tableRequest{time.Now(), time.Hour}
 		b.start()
 		b.AddPeer(a.cfg.Self.Addr, "")
 		behind := registry.Get("catalog.declared.behind.milliseconds").(gometrics.Gauge)
--- a/connection/exchange/exchange.go
+++ b/connection/exchange/exchange.go
@@ -155,8 +155,8 @@
 	knownChanged chan struct{}
 	// followed holds the data centres that are followed through a connection now.
 	followed map[string]bool
-	// lastRequested is the time at which each table was last requested.
-	lastRequested map[catalog.Table]time.Time
+	// requests holds the requests for tables that wait for a response.
+	requests map[catalog.Table]tableRequest
 	// peerReads holds what the entry instances of this data centre read from the
 	// store, by the ID of the entry instance.
 	peerReads map[string]peerRead
@@ -173,7 +173,7 @@
 	}
 	return &Exchange{
 		cfg: cfg, known: map[string]string{}, knownChanged: make(chan struct{}), followed: map[string]bool{},
-		lastRequested: map[catalog.Table]time.Time{}, peerReads: map[string]peerRead{},
+		requests: map[catalog.Table]tableRequest{}, peerReads: map[string]peerRead{},
 		changeQueues: map[chan frame.TableChanges]string{}, metrics: newExchangeMetrics(cfg.Metrics),
 	}
 }
--- a/connection/exchange/lag.go
+++ b/connection/exchange/lag.go
@@ -6,10 +6,15 @@
 	"github.com/rattanway/rattanway/version/catalog"
 )
 
-// maxLag is how long a revision that a peer has may be missing here before the
-// table is requested from the peer. Usually the store delivers the revision
-// sooner.
-const maxLag = 400 * time.Millisecond
+const (
+	// maxLag is how long a revision that a peer has may be missing here before the
+	// table is requested from the peer. Usually the store delivers the revision
+	// sooner.
+	maxLag = 400 * time.Millisecond
+	// maxRequestPause is the longest time between two requests for a table of which the
+	// first has no response.
+	maxRequestPause = 4 * maxLag
+)
 
 // lag tracks a change of a table that a peer has and that is missing here, by its
 // position in the store. In a large deployment the table of servers changes all the
@@ -22,6 +27,13 @@
 	since time.Time
 }
 
+// tableRequest is a request for a table that waits for a response.
+type tableRequest struct {
+	at time.Time
+	// pause is the time after which the table may be requested again.
+	pause time.Duration
+}
+
 // overdue updates the tracked position and reports whether that position has
 // been missing here for at least maxLag. overdue also returns true if the peer
 // has a position and this entry instance has none. own and peer are the positions
@@ -40,13 +52,22 @@
 
 // allowRequest reports whether a table may be requested at the time now, and
 // records the request if so. Within maxLag a table is requested from only one
-// peer, because a table takes a megabyte in a large deployment.
+// peer, because a table takes a megabyte in a large deployment. The time doubles with
+// each request that has no response: it may be on its way over a busy link.
 func (x *Exchange) allowRequest(t catalog.Table, now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if last, ok := x.lastRequested[t]; ok && now.Sub(last) < maxLag {
+	last := x.requests[t]
+	if !last.at.IsZero() && now.Sub(last.at) < last.pause {
 		return false
 	}
-	x.lastRequested[t] = now
+	x.requests[t] = tableRequest{now, min(max(maxLag, 2*last.pause), maxRequestPause)}
 	return true
 }
+
+// endRequest records the response to a request for a table.
+func (x *Exchange) endRequest(t catalog.Table) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.requests, t)
+}
--- a/connection/exchange/lag_test.go
+++ b/connection/exchange/lag_test.go
@@ -78,3 +78,25 @@
 		So(a.holder.Current().Servers["lost"], ShouldBeNil)
 	})
 }
+
+// Guards against requests for a table that is on its way over a busy link, which get it sent
+// again behind the first.
+func TestRequestsForATableOnItsWay(t *testing.T) {
+	Convey("A table is requested again after times that double, until it has arrived", t, func() {
+		start := time.Now()
+		requests := func(x *Exchange, from, until time.Duration) (at []time.Duration) {
+			for d := from; d < until; d += 100 * time.Millisecond {
+				if x.allowRequest(catalog.TableDeclared, start.Add(d)) {
+					at = append(at, d)
+				}
+			}
+			return at
+		}
+		x := New(Config{})
+		So(requests(x, 0, 16*time.Second), ShouldResemble, []time.Duration{
+			0, maxLag, 3 * maxLag, 7 * maxLag, 11 * maxLag, 15 * maxLag, 19 * maxLag, 23 * maxLag, 27 * maxLag, 31 * maxLag, 35 * maxLag, 39 * maxLag,
+		})
+		x.endRequest(catalog.TableDeclared)
+		So(requests(x, 16*time.Second, 17*time.Second), ShouldResemble, []time.Duration{16 * time.Second, 16*time.Second + maxLag})
+	})
+}
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -89,6 +89,7 @@
 // adoptTable adopts a table that was requested.
 func (r *receiver) adoptTable(t frame.TableState) error {
 	x := r.x
+	x.endRequest(t.Table)
 	changes, err := x.follower(t.Table).AdoptIfNewer(t.Content, r.source)
 	if err != nil {
 		// The values changed here while the response was on its way.
