One entry instance of a data centre gets the declarations from others

Each entry instance of a data centre got a large configuration through the same narrow link.

Cause: an instance that heard from a relay of another data centre of a revision that it had lacked for 0.4 s read the store, even if it relied on a reader of its own data centre, or requested the whole table from the relay. All did so at the same time, while the reader was still receiving the row.

Change: of the instances of a data centre, the one with the lowest rank requests the declarations from the others as soon as a report shows that they are newer, and sends the changes on like those that it reads from the store. The others request them from their own data centre after 0.4 s as before, from another one after 0.8 s, and no longer read the store for that. A report is sent at once when the declarations change. The list of servers is handled as before: content of a peer lacks the servers that it keeps for a grace period.

--- a/connection/exchange/lag.go
+++ b/connection/exchange/lag.go
@@ -11,6 +11,11 @@
 	// table is requested from the peer. Usually the store delivers the revision
 	// sooner.
 	maxLag = 400 * time.Millisecond
+	// relayLag is the same for the declarations at the entry instance that relays them
+	// from peers in other data centres to those in its own, and remoteLag for the others
+	// there with regard to peers in other data centres.
+	relayLag  = 50 * time.Millisecond
+	remoteLag = 2 * maxLag
 	// maxRequestPause is the longest time between two requests for a table of which the
 	// first has no response.
 	maxRequestPause = 4 * maxLag
@@ -34,11 +39,16 @@
 	pause time.Duration
 }
 
-// overdue updates the tracked position and reports whether that position has
-// been missing here for at least maxLag. overdue also returns true if the peer
+// overdue is missingFor with maxLag.
+func (l *lag) overdue(own, peer catalog.Position, now time.Time) bool {
+	return l.missingFor(own, peer, now, maxLag)
+}
+
+// missingFor updates the tracked position and reports whether that position has
+// been missing here for at least limit. missingFor also returns true if the peer
 // has a position and this entry instance has none. own and peer are the positions
 // of the newest changes here and at the peer; a revision of 0 means none.
-func (l *lag) overdue(own, peer catalog.Position, now time.Time) bool {
+func (l *lag) missingFor(own, peer catalog.Position, now time.Time, limit time.Duration) bool {
 	switch {
 	case !own.Before(peer):
 		*l = lag{}
@@ -47,7 +57,23 @@
 	case !own.Before(l.position):
 		*l = lag{peer, now}
 	}
-	return l.position.Revision > 0 && now.Sub(l.since) >= maxLag
+	return l.position.Revision > 0 && now.Sub(l.since) >= limit
+}
+
+// lagLimit returns how long a revision of a table that a peer has may be missing here. For
+// the declarations, one entry instance of a data centre requests them from other data
+// centres and sends the changes on to its peers.
+func (x *Exchange) lagLimit(t catalog.Table, remote bool) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	relays, shared := relaysTable(x.cfg.Self.ID, t, x.peerReads, x.cfg.Clock.Now())
+	switch {
+	case t != catalog.TableDeclared || !remote || !shared:
+		return maxLag
+	case relays:
+		return relayLag
+	}
+	return remoteLag
 }
 
 // allowRequest reports whether a table may be requested at the time now, and
--- a/connection/exchange/readers.go
+++ b/connection/exchange/readers.go
@@ -99,6 +99,21 @@
 	return found && reporting >= minSharedReadInstances
 }
 
+// relaysTable reports whether the entry instance self is the one of its data centre that
+// relays a table between data centres: the one with the lowest rank of those that report.
+// shared is false if there are too few of them to share what one has got.
+func relaysTable(self string, t catalog.Table, reads map[string]peerRead, now time.Time) (relays, shared bool) {
+	relays, reporting := true, 1
+	for peer, r := range reads {
+		if now.Sub(r.reportedAt) >= peerReadTimeout {
+			continue
+		}
+		reporting++
+		relays = relays && rank(t.Name(), self) < rank(t.Name(), peer)
+	}
+	return relays, reporting >= minSharedReadInstances
+}
+
 // SendChanges sends changes that this entry instance has read from the store to the
 // others of its data centre, if they are enough to share their reads. A peer whose
 // queue is full misses them and reads the store itself.
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -86,7 +86,8 @@
 	return nil
 }
 
-// adoptTable adopts a table that was requested.
+// adoptTable adopts a table that was requested. The entry instance that relays the
+// declarations sends the changes to its data centre.
 func (r *receiver) adoptTable(t frame.TableState) error {
 	x := r.x
 	x.endRequest(t.Table)
@@ -99,6 +100,10 @@
 	if changes.Until > 0 {
 		x.metrics.tablesAdopted.Inc(1)
 	}
+	remote := r.dataCentre != x.cfg.Self.DataCentre
+	if t.Table == catalog.TableDeclared && remote && len(changes.Rows) > 0 && x.lagLimit(t.Table, remote) == relayLag {
+		x.SendChanges(t.Table, changes)
+	}
 	return nil
 }
 
@@ -152,18 +157,22 @@
 }
 
 // requestTables requests from the peer each table of which the peer has a revision
-// that has not been delivered here for too long; see lag.overdue. A table that
-// was requested a short time ago is not requested again. A table that another entry
-// instance reads for this one is read from the store instead.
+// that has not been delivered here for too long; see lag.overdue and lagLimit. A table that
+// was requested a short time ago is not requested again. A table of backend servers that
+// another entry instance reads for this one is read from the store instead, because the
+// peer's content lacks the servers that it lists only for a grace period.
 func (x *Exchange) requestTables(r *receiver, update frame.LoadUpdate, lags map[catalog.Table]*lag) error {
-	now := x.cfg.Clock.Now()
+	now, remote := x.cfg.Clock.Now(), r.dataCentre != x.cfg.Self.DataCentre
 	for t, peerChange := range map[catalog.Table]catalog.Position{
 		catalog.TableDeclared: {Era: update.DeclaredEra, Revision: update.DeclaredRevision},
 		catalog.TableServers:  {Era: update.ServersEra, Revision: update.ServersRevision},
 	} {
 		follower := x.follower(t)
 		follower.ObservePeerPosition(r.source, peerChange)
-		if !lags[t].overdue(follower.LastChange(), peerChange, now) || !x.allowRequest(t, now) || follower.PollNow() {
+		if !lags[t].missingFor(follower.LastChange(), peerChange, now, x.lagLimit(t, remote)) || !x.allowRequest(t, now) {
+			continue
+		}
+		if t == catalog.TableServers && follower.PollNow() {
 			continue
 		}
 		var held map[catalog.Table]frame.HeldRows
--- a/connection/exchange/send.go
+++ b/connection/exchange/send.go
@@ -42,6 +42,8 @@
 	sentEvidence uint64
 	// takesPatches is true if the receiver takes patches of rows.
 	takesPatches atomic.Bool
+	// sentDeclared is the position in the declarations that the receiver knows.
+	sentDeclared catalog.Position
 	// lastHeartbeat is the time of the last heartbeat; zero before the first report.
 	lastHeartbeat time.Time
 }
@@ -127,11 +129,11 @@
 		update.DeclaredVersions, update.ReadAgesMs = x.recentVersions(now), x.readAges(now)
 		update.StoreContact = x.storeContact(now)
 		s.lastHeartbeat = now
-	} else if len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents) == 0 && update.Evidence.Empty() {
+	} else if declared == s.sentDeclared && len(update.RunningByServer)+len(update.Entries)+len(update.Agents)+len(update.GoneAgents) == 0 && update.Evidence.Empty() {
 		return nil
 	}
 	s.sentEntryCount += len(update.Entries)
-	s.sentEvidence = sentEvidence
+	s.sentEvidence, s.sentDeclared = sentEvidence, declared
 	return s.conn.Send(frame.KindLoadUpdate, update)
 }
 
