A call to the store ends when a peer has delivered the large value it brings

The store sends each change of one route as the whole configuration, 1.5 MB at 3,050 routes, to the reader of each data centre, and with changes in a row the link between two regions never gets free.

Cause: the reader's call went on although the change had come from a peer in another data centre as a patch.

Change: when a peer has delivered a patched row, the call in flight ends and the next one begins after it. This is no outage; if the response had begun, it counts as a response of the store.

--- a/version/catalog/condense_test.go
+++ b/version/catalog/condense_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,6 +22,14 @@
 // first word of the value.
 type largeSource struct {
 	scriptedSource
+	waits []time.Duration
+}
+
+func (s *largeSource) ChangesSince(ctx context.Context, t Table, since uint64, wait time.Duration) ([]Row, Position, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
+	return s.scriptedSource.ChangesSince(ctx, t, since, wait)
 }
 
 func (s *largeSource) Decode(t Table, r Row, now time.Time) (Change, error) {
@@ -29,6 +40,13 @@
 	return s.scriptedSource.Decode(t, r, now)
 }
 
+// sinceRevisions returns the revisions passed to ChangesSince.
+func (s *largeSource) sinceRevisions() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]uint64(nil), s.sinceArgs...)
+}
+
 // largeConfig returns the row of a configuration of 60 KB that has one version in common
 // with no other, and all else with every other one.
 func largeConfig(version int, revision uint64) Row {
@@ -158,3 +176,31 @@
 		So(h.path("config", 2, 3), ShouldHaveLength, 1)
 	})
 }
+
+// Guards against a transfer of a large value from the store, over a narrow link, that the
+// process has from a peer.
+func TestCallThatAPeerHasOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, readerSource := newLargeFollower()
+		var shared RowChanges
+		reader.Share(func() bool { return false }, func(c RowChanges) { shared = sent(c) })
+		pollAll(reader, &readerSource.scriptedSource, response{rows: []Row{largeConfig(2, 7)}, rev: 8})
+
+		f, source := newLargeFollower()
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = f.Run(ctx) })
+		<-time.After(time.Second)
+		f.ApplyFromPeer(shared)
+		<-time.After(time.Second)
+		unavailable := f.StoreUnavailable()
+		cancel()
+		running.Wait()
+		if got := fmt.Sprint(source.sinceRevisions()); got != "[5 8]" {
+			t.Errorf("calls for changes since %s, want one that is ended and one since 8", got)
+		}
+		if unavailable {
+			t.Error("the ended call counts as an outage of the store")
+		}
+	})
+}
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -73,6 +74,9 @@
 	}
 	changes := f.changesTo(content, received)
 	f.replaceContentLocked(content, cmp.Or(from, "peer"))
+	if slices.ContainsFunc(changes.Rows, func(r Row) bool { return len(r.Patches) > 0 }) {
+		f.endCall()
+	}
 	return changes, nil
 }
 
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -84,9 +84,11 @@
 	// compressing is held while a value is compressed, so that it is done once for all peers.
 	compressing sync.Mutex
 
-	// cancelCall ends the call in flight; nil without one. retryNow ends the pause after a
+	// cancelCall ends the call in flight; nil without one. callEnded is true if it was ended
+	// because a peer has delivered what it was about to bring. retryNow ends the pause after a
 	// failed call, and lastRetryNow is the last time that RetryNow did anything.
 	cancelCall   context.CancelFunc
+	callEnded    bool
 	retryNow     chan struct{}
 	lastRetryNow time.Time
 
--- a/version/catalog/retry.go
+++ b/version/catalog/retry.go
@@ -39,20 +39,38 @@
 	}
 }
 
-// poll is pollOnce, which RetryNow can end during an outage.
+// poll is pollOnce, which RetryNow can end during an outage and endCall at any time.
 func (f *Follower) poll(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.setCancelCall(cancel)
-	defer f.setCancelCall(nil)
-	return f.pollOnce(ctx)
+	err := f.pollOnce(ctx)
+	if f.setCancelCall(nil) {
+		return nil
+	}
+	return err
 }
 
-// setCancelCall sets the function that ends the call in flight, which has no response yet.
-func (f *Follower) setCancelCall(cancel context.CancelFunc) {
+// setCancelCall sets the function that ends the call in flight, which has no response yet. It
+// reports whether endCall ended the call before.
+func (f *Follower) setCancelCall(cancel context.CancelFunc) (ended bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancelCall, f.respondingSince = cancel, time.Time{}
+	ended = f.callEnded
+	f.cancelCall, f.callEnded, f.respondingSince = cancel, false, time.Time{}
+	return ended
+}
+
+// endCall ends the call in flight, because a peer has delivered the large values that its
+// response is about to bring. The caller must hold f.mu.
+func (f *Follower) endCall() {
+	if f.cancelCall != nil {
+		if f.respondingSince.After(f.lastResponseAt) {
+			f.lastResponseAt = f.respondingSince
+		}
+		f.callEnded = true
+		f.cancelCall()
+	}
 }
 
 // pauseBeforeRetry waits for delay with jitter, counted from the begin of the failed call, for
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rattanway/rattanway/process/eventlog"
@@ -139,6 +140,9 @@
 	}
 	f.applyRowsLocked(rows, c.Until, cmp.Or(c.From, "peer"))
 	f.sharedUntil = max(f.sharedUntil, c.Until)
+	if slices.ContainsFunc(c.Rows, func(r Row) bool { return len(r.Patches) > 0 }) {
+		f.endCall()
+	}
 }
 
 // shareRead passes rows that the store returned up to the position until to onRead. If
