An entry instance that relies on a reader does not wait at the store

A change of the configuration crosses the link between two regions more than once for a data centre.

Cause: an instance that relies on a peer's reads asks the store every 8 s whether it has missed a change, and waited 2.2 s there for the next one. At any time about a fifth of the instances waited, and the store sent them a large row that the reader was sending them as well.

Change: such a call waits for 50 ms.

TestCheckOfTheStoreDoesNotWait fails before (it waits 2.2 s).

--- a/version/catalog/condense_test.go
+++ b/version/catalog/condense_test.go
@@ -204,3 +204,17 @@
 		}
 	})
 }
+
+// Guards against large changes that the store sends to an entry instance which gets them
+// from a peer.
+func TestCheckOfTheStoreDoesNotWait(t *testing.T) {
+	Convey("A Follower whose table a peer reads does not wait for changes at the store", t, func() {
+		f, source := newLargeFollower()
+		read := true
+		f.Share(func() bool { return read }, func(RowChanges) {})
+		pollAll(f, &source.scriptedSource, response{rev: 6})
+		read = false
+		pollAll(f, &source.scriptedSource, response{rev: 6})
+		So(source.waits, ShouldResemble, []time.Duration{checkPollTimeout, longPollTimeout})
+	})
+}
--- a/version/catalog/poll.go
+++ b/version/catalog/poll.go
@@ -16,6 +16,9 @@
 	// more load on the store.
 	longPollTimeout    = 2200 * time.Millisecond
 	minLongPollTimeout = 500 * time.Millisecond
+	// checkPollTimeout is the longest wait of a Follower whose table a peer reads. If it
+	// waited longer, the store would send large changes to it as well as to the peer.
+	checkPollTimeout = 50 * time.Millisecond
 	// overdueAfter is the time beyond its wait after which a call without a response is
 	// repeated on another connection: open connections may have gone silent. A slow store
 	// needs up to half a second for a response.
@@ -103,16 +106,20 @@
 }
 
 // pollTimeout returns the longest time that the next ChangesSince call may wait for a change; 0
-// during an outage. While servers are missing, the call waits no longer than the rest of their
+// during an outage, and little if a peer reads the table. While servers are missing, the call waits no longer than the rest of their
 // grace period. For the table of servers, a dead connection must be noticed, and a response
 // reported to peers, before rows could have lapsed since the response before.
 func (f *Follower) pollTimeout() time.Duration {
+	readByPeer := f.readByPeer != nil && f.readByPeer()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unavailable {
 		return 0
 	}
 	wait := longPollTimeout
+	if readByPeer {
+		wait = checkPollTimeout
+	}
 	if f.table == TableServers {
 		wait = min(wait, max(minLongPollTimeout, f.lapseTime()-serversBatchDelay-overdueAfter-pollMargin))
 	}
