A relay passes on a table only if its peers have all that came before

Between a response of the store and its passing on, the relay has rows that its peers lack; and a relay without a table does not know what its peers have to delete. The changes that it sent claimed to be complete, so that the peers moved their revision past these rows and never applied them.

--- a/version/catalog/condense.go
+++ b/version/catalog/condense.go
@@ -168,7 +168,7 @@
 // must hold f.mu.
 func (f *Follower) changesTo(content TableContent, received []Row) RowChanges {
 	changes := RowChanges{Since: f.sharedUntil, Until: content.ReadRevision, Era: content.Era}
-	if content.Era != f.era {
+	if content.Era != f.era || f.changeRevision == 0 || f.changeRevision > f.sharedUntil {
 		return changes
 	}
 	listed := map[string]bool{}
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -55,7 +55,7 @@
 // content has patches of values that this process does not have, AdoptIfNewer returns an
 // error and changes nothing. The result are the changes to what ApplyFromPeer and the
 // store delivered before: with an Until of 0 if content is not newer, and without rows if
-// it is of another era of the store.
+// they are not to be passed on; see changesTo.
 func (f *Follower) AdoptIfNewer(content TableContent, from string) (RowChanges, error) {
 	if !f.LastChange().Before(content.lastChange()) {
 		return RowChanges{}, nil
@@ -74,7 +74,7 @@
 	}
 	changes := f.changesTo(content, received)
 	f.replaceContentLocked(content, cmp.Or(from, "peer"))
-	if slices.ContainsFunc(changes.Rows, func(r Row) bool { return len(r.Patches) > 0 }) {
+	if slices.ContainsFunc(received, func(r Row) bool { return len(r.Patches) > 0 }) {
 		f.endCall()
 	}
 	return changes, nil
--- /dev/null
+++ b/version/catalog/relayed_test.go
@@ -0,0 +1,61 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/rattanway/rattanway/process/eventlog"
+)
+
+// newDeclaredFollower returns a Follower of the declarations that has read rows, up to
+// the revision 5.
+func newDeclaredFollower(rows ...Row) *Follower {
+	source := &scriptedSource{}
+	f := NewFollower(TableDeclared, source, NewHolder(eventlog.Discard()), eventlog.Discard(), clockwork.NewRealClock())
+	if len(rows) > 0 {
+		pollAll(f, source, response{rows: rows, rev: 5})
+	}
+	return f
+}
+
+// adoptAndPass makes f adopt content, and passes the changes to peers as the exchange does.
+func adoptAndPass(f *Follower, content TableContent, peers ...*Follower) {
+	changes, err := f.AdoptIfNewer(content, "remote")
+	So(err, ShouldBeNil)
+	for _, peer := range peers {
+		if len(changes.Rows) > 0 {
+			peer.ApplyFromPeer(changes)
+		}
+	}
+}
+
+// Guards against a change that the other entry instances of a data centre never apply, because
+// the one that relays the declarations claimed that theirs go on from a revision from which
+// they do not.
+func TestRelayedChangesLeaveNoGap(t *testing.T) {
+	Convey("A relay that adopts a table between a response of the store and its passing on", t, func() {
+		relay, peer := newDeclaredFollower(newRow("config", "1", 5)), newDeclaredFollower(newRow("config", "1", 5))
+		relay.Share(func() bool { return false }, peer.ApplyFromPeer)
+		response := []Row{newRow("out/zone", "", 6), newRow("config", "2", 7)}
+		relay.applyRows(response, Position{Revision: 7})
+		adoptAndPass(relay, TableContent{
+			Rows: []Row{newRow("out/zone", "", 6), newRow("config", "3", 9)}, ChangeRevision: 9, ReadRevision: 9,
+		}, peer)
+		relay.shareRead(response, Position{Revision: 7}, false)
+		So(configVersion(relay), ShouldEqual, "3")
+		So(relay.rows, ShouldContainKey, "out/zone")
+		if peer.lastRead().Revision >= 6 {
+			So(peer.rows, ShouldContainKey, "out/zone")
+		}
+	})
+	Convey("A relay that has had no table does not know what others have to delete", t, func() {
+		relay, peer := newDeclaredFollower(), newDeclaredFollower(newRow("config", "1", 4), newRow("out/zone", "", 5))
+		adoptAndPass(relay, TableContent{Rows: []Row{newRow("config", "2", 9)}, ChangeRevision: 9, ReadRevision: 9}, peer)
+		So(configVersion(relay), ShouldEqual, "2")
+		if peer.lastRead().Revision >= 9 {
+			So(peer.rows, ShouldNotContainKey, "out/zone")
+		}
+	})
+}
