Relayed deletions count from the revision up to which the table was read

A complete table shows no deletions: its newest change may be older than what a peer has read, which then took the deletion for known and kept the row.

--- a/version/catalog/condense.go
+++ b/version/catalog/condense.go
@@ -181,7 +181,7 @@
 	}
 	for key := range f.rows {
 		if !listed[key] {
-			changes.Rows = append(changes.Rows, Row{Key: key, Revision: content.ChangeRevision, Deleted: true})
+			changes.Rows = append(changes.Rows, Row{Key: key, Revision: content.ReadRevision, Deleted: true})
 		}
 	}
 	return changes
--- a/version/catalog/relayed_test.go
+++ b/version/catalog/relayed_test.go
@@ -58,4 +58,13 @@
 			So(peer.rows, ShouldNotContainKey, "out/zone")
 		}
 	})
+	Convey("A row that was deleted after the newest change that a relayed table shows", t, func() {
+		relay, peer := newDeclaredFollower(newRow("config", "1", 4), newRow("out/zone", "", 5)), newDeclaredFollower(newRow("config", "1", 4), newRow("out/zone", "", 5))
+		peer.ApplyFromPeer(RowChanges{Rows: []Row{newRow("config", "2", 9)}, Since: 5, Until: 11})
+		// The sender has read the complete table, which shows no deletions.
+		adoptAndPass(relay, TableContent{Rows: []Row{newRow("config", "2", 9)}, ChangeRevision: 9, ReadRevision: 15}, peer)
+		if peer.lastRead().Revision >= 12 {
+			So(peer.rows, ShouldNotContainKey, "out/zone")
+		}
+	})
 }
