--- a/version/catalog/relayed_test.go
+++ b/version/catalog/relayed_test.go
@@ -68,3 +68,19 @@
 		}
 	})
 }
+
+// Guards against a large value that the reader sends to all peers though another one has sent
+// them a newer one.
+func TestOvertakenResponseIsNotPassedOn(t *testing.T) {
+	Convey("A reader that gets changes from a peer before its own response passes on no row that they cover", t, func() {
+		reader, source := newLargeFollower()
+		var shared []RowChanges
+		reader.Share(func() bool { return false }, func(c RowChanges) { shared = append(shared, sent(c)) })
+		reader.ApplyFromPeer(RowChanges{Rows: []Row{largeConfig(3, 9)}, Since: 5, Until: 9})
+		pollAll(reader, &source.scriptedSource, response{rows: []Row{largeConfig(2, 7), newRow("out/zone", "", 12)}, rev: 13})
+		So(shared, ShouldHaveLength, 1)
+		So(shared[0].Since, ShouldEqual, 9)
+		So(shared[0].Until, ShouldEqual, 13)
+		So(shared[0].Rows, ShouldResemble, []Row{newRow("out/zone", "", 12)})
+	})
+}
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -157,7 +157,14 @@
 		f.mu.Unlock()
 		return
 	}
-	c := RowChanges{Rows: rows, Since: f.sharedUntil, Until: until.Revision, Era: f.era}
+	c := RowChanges{Since: f.sharedUntil, Until: until.Revision, Era: f.era}
+	for _, r := range rows {
+		// A peer may have sent earlier ones while this response was on its way. Who takes
+		// changes since then has them.
+		if r.Revision > f.sharedUntil {
+			c.Rows = append(c.Rows, r)
+		}
+	}
 	// A peer may have sent later changes while this response was on its way.
 	f.sharedUntil = max(f.sharedUntil, until.Revision)
 	if now := f.clock.Now(); f.inGracePeriod("", now) {
