Requests for tables: the time between them starts anew when none is on its way

Found in review. A read of the list of servers from the store in place of a request never got a response that ends the request, so that the time between two reads stayed at 1.6 s, 0.4 s before; so did it after a request whose connection had ended. What callers could see: a server that has left is used for longer, if the change was missed.

TestRequestsForATableOnItsWay fails before: the request after a minute is repeated after 1.6 s, and the fifth read of the list is not allowed.

--- a/connection/exchange/lag.go
+++ b/connection/exchange/lag.go
@@ -79,7 +79,8 @@
 // allowRequest reports whether a table may be requested at the time now, and
 // records the request if so. Within maxLag a table is requested from only one
 // peer, because a table takes a megabyte in a large deployment. The time doubles with
-// each request that has no response: it may be on its way over a busy link.
+// each request that has no response: it may be on its way over a busy link. It does not
+// once such a request is long past.
 func (x *Exchange) allowRequest(t catalog.Table, now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -87,10 +88,21 @@
 	if !last.at.IsZero() && now.Sub(last.at) < last.pause {
 		return false
 	}
-	x.requests[t] = tableRequest{now, min(max(maxLag, 2*last.pause), maxRequestPause)}
+	pause := maxLag
+	if now.Sub(last.at) < 2*last.pause {
+		pause = min(2*last.pause, maxRequestPause)
+	}
+	x.requests[t] = tableRequest{now, pause}
 	return true
 }
 
+// awaitNoResponse records that the table was not requested from a peer after all.
+func (x *Exchange) awaitNoResponse(t catalog.Table) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.requests[t] = tableRequest{x.requests[t].at, maxLag}
+}
+
 // endRequest records the response to a request for a table.
 func (x *Exchange) endRequest(t catalog.Table) {
 	x.mu.Lock()
--- a/connection/exchange/lag_test.go
+++ b/connection/exchange/lag_test.go
@@ -98,5 +98,14 @@
 		})
 		x.endRequest(catalog.TableDeclared)
 		So(requests(x, 16*time.Second, 17*time.Second), ShouldResemble, []time.Duration{16 * time.Second, 16*time.Second + maxLag})
+		// The response to the last of these has not come for a minute.
+		So(requests(x, time.Minute, time.Minute+time.Second), ShouldResemble, []time.Duration{time.Minute, time.Minute + maxLag})
+	})
+	Convey("A table that is read from the store in place of a request may be read again after the shortest time", t, func() {
+		start, x := time.Now(), New(Config{})
+		for i := range 5 {
+			So(x.allowRequest(catalog.TableServers, start.Add(time.Duration(i)*maxLag)), ShouldBeTrue)
+			x.awaitNoResponse(catalog.TableServers)
+		}
 	})
 }
--- a/connection/exchange/receive.go
+++ b/connection/exchange/receive.go
@@ -173,6 +173,7 @@
 			continue
 		}
 		if t == catalog.TableServers && follower.PollNow() {
+			x.awaitNoResponse(t)
 			continue
 		}
 		var held map[catalog.Table]frame.HeldRows
