A call that a peer has overtaken ends when its response has begun

Found in review. A call that was ended before its response had begun counted neither as a response of the store nor as a failure. With changes from peers in a row, and a store that is slow or gone, the reader counted as cut off after 3.5 s, so that all of its data centre read, and an outage went unnoticed.

Change: the call goes on until its response begins, and is ended then. The begin of a response and the end of a call come through one channel, so that a failure cannot overtake the begin before it.

TestCallThatAPeerHasOvertaken, extended, fails before: "A call without a response is not ended" sees calls [5 8], want [5].

--- a/version/catalog/condense_test.go
+++ b/version/catalog/condense_test.go
@@ -23,12 +23,22 @@
 type largeSource struct {
 	scriptedSource
 	waits []time.Duration
+	// beginAfter is the time until the response to a call that gets none begins; 0 means never.
+	beginAfter time.Duration
 }
 
 func (s *largeSource) ChangesSince(ctx context.Context, t Table, since uint64, wait time.Duration) ([]Row, Position, error) {
 	s.mu.Lock()
 	s.waits = append(s.waits, wait)
+	begin := s.beginAfter > 0
 	s.mu.Unlock()
+	if begin {
+		select {
+		case <-time.After(s.beginAfter):
+			ResponseBegun(ctx)
+		case <-ctx.Done():
+		}
+	}
 	return s.scriptedSource.ChangesSince(ctx, t, since, wait)
 }
 
@@ -178,31 +188,50 @@
 }
 
 // Guards against a transfer of a large value from the store, over a narrow link, that the
-// process has from a peer.
+// process has from a peer, and against an outage that is not noticed because calls are ended.
 func TestCallThatAPeerHasOvertaken(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		reader, readerSource := newLargeFollower()
-		var shared RowChanges
-		reader.Share(func() bool { return false }, func(c RowChanges) { shared = sent(c) })
-		pollAll(reader, &readerSource.scriptedSource, response{rows: []Row{largeConfig(2, 7)}, rev: 8})
+	for name, c := range map[string]struct {
+		beginAfter time.Duration
+		calls      string
+	}{
+		"A call whose response begins before the peer's changes is ended with them": {500 * time.Millisecond, "[5 8]"},
+		"A call whose response begins after the peer's changes is ended then":       {1500 * time.Millisecond, "[5 8]"},
+		"A call without a response is not ended":                                    {0, "[5]"},
+	} {
+		Convey(name, t, func() {
+			synctest.Test(t, func(t *testing.T) { checkOvertakenCall(t, c.beginAfter, c.calls) })
+		})
+	}
+}
 
-		f, source := newLargeFollower()
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { _ = f.Run(ctx) })
-		<-time.After(time.Second)
-		f.ApplyFromPeer(shared)
-		<-time.After(time.Second)
-		unavailable := f.StoreUnavailable()
-		cancel()
-		running.Wait()
-		if got := fmt.Sprint(source.sinceRevisions()); got != "[5 8]" {
-			t.Errorf("calls for changes since %s, want one that is ended and one since 8", got)
-		}
-		if unavailable {
-			t.Error("the ended call counts as an outage of the store")
-		}
-	})
+// checkOvertakenCall delivers a patch from a peer 1 s after the begin of a call, and checks the
+// calls within 2 s.
+func checkOvertakenCall(t *testing.T, beginAfter time.Duration, calls string) {
+	reader, readerSource := newLargeFollower()
+	var shared RowChanges
+	reader.Share(func() bool { return false }, func(c RowChanges) { shared = sent(c) })
+	pollAll(reader, &readerSource.scriptedSource, response{rows: []Row{largeConfig(2, 7)}, rev: 8})
+
+	f, source := newLargeFollower()
+	source.beginAfter = beginAfter
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = f.Run(ctx) })
+	<-time.After(time.Second)
+	f.ApplyFromPeer(shared)
+	<-time.After(time.Second)
+	unavailable := f.StoreUnavailable()
+	if readAt, ok := f.LastRead(); beginAfter > 0 && (!ok || time.Since(readAt) > 2*time.Second-beginAfter) {
+		t.Errorf("last response %v ago", time.Since(readAt))
+	}
+	cancel()
+	running.Wait()
+	if got := fmt.Sprint(source.sinceRevisions()); got != calls {
+		t.Errorf("calls for changes since %s, want %s", got, calls)
+	}
+	if unavailable {
+		t.Error("the call counts as an outage of the store")
+	}
 }
 
 // Guards against large changes that the store sends to an entry instance which gets them
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -75,7 +75,7 @@
 	changes := f.changesTo(content, received)
 	f.replaceContentLocked(content, cmp.Or(from, "peer"))
 	if slices.ContainsFunc(received, func(r Row) bool { return len(r.Patches) > 0 }) {
-		f.endCall()
+		f.overtakeCall()
 	}
 	return changes, nil
 }
--- a/version/catalog/follower.go
+++ b/version/catalog/follower.go
@@ -84,13 +84,13 @@
 	// compressing is held while a value is compressed, so that it is done once for all peers.
 	compressing sync.Mutex
 
-	// cancelCall ends the call in flight; nil without one. callEnded is true if it was ended
-	// because a peer has delivered what it was about to bring. retryNow ends the pause after a
+	// cancelCall ends the call in flight; nil without one. callOvertaken is true if
+	// a peer has delivered what it brings, and callEnded if it was ended for that. retryNow ends the pause after a
 	// failed call, and lastRetryNow is the last time that RetryNow did anything.
-	cancelCall   context.CancelFunc
-	callEnded    bool
-	retryNow     chan struct{}
-	lastRetryNow time.Time
+	cancelCall               context.CancelFunc
+	callOvertaken, callEnded bool
+	retryNow                 chan struct{}
+	lastRetryNow             time.Time
 
 	// readByPeer and onRead are the functions passed to Share; nil without Share.
 	readByPeer func() bool
--- a/version/catalog/poll.go
+++ b/version/catalog/poll.go
@@ -43,10 +43,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.respondingSince = f.clock.Now()
+	f.endOvertakenCall()
 }
 
-// feed is the result of a ChangesSince call.
+// feed is the result of a ChangesSince call, or the begin of its response.
 type feed struct {
+	begun    bool
 	rows     []Row
 	position Position
 	err      error
@@ -66,11 +68,11 @@
 	defer endFirst()
 	repeatedCtx, endRepeated := context.WithCancel(ctx)
 	defer endRepeated()
-	results, begun := make(chan feed, 2), make(chan bool, 2)
+	results := make(chan feed, 4)
 	call := func(ctx context.Context, wait time.Duration, repeated bool) {
-		ctx = WithResponseBegun(ctx, func() { begun <- repeated })
+		ctx = WithResponseBegun(ctx, func() { results <- feed{begun: true, repeated: repeated} })
 		rows, position, err := f.source.ChangesSince(ctx, f.table, since, wait)
-		results <- feed{rows, position, err, repeated}
+		results <- feed{false, rows, position, err, repeated}
 	}
 	go call(firstCtx, wait, false)
 	overdue := f.clock.After(wait + overdueAfter)
@@ -82,18 +84,20 @@
 			overdue = nil
 			f.beginCall()
 			go call(repeatedCtx, 0, true)
-		case repeated := <-begun:
-			if responding {
+		case r := <-results:
+			if r.begun && responding {
 				continue
 			}
-			overdue, responding, countsRepeated = nil, true, repeated
-			f.markResponding()
-			if repeated {
-				endFirst()
-			} else {
-				endRepeated()
+			if r.begun {
+				overdue, responding, countsRepeated = nil, true, r.repeated
+				f.markResponding()
+				if r.repeated {
+					endFirst()
+				} else {
+					endRepeated()
+				}
+				continue
 			}
-		case r := <-results:
 			if r.err != nil && r.repeated != countsRepeated {
 				continue
 			}
@@ -106,9 +110,10 @@
 }
 
 // pollTimeout returns the longest time that the next ChangesSince call may wait for a change; 0
-// during an outage, and little if a peer reads the table. While servers are missing, the call waits no longer than the rest of their
-// grace period. For the table of servers, a dead connection must be noticed, and a response
-// reported to peers, before rows could have lapsed since the response before.
+// during an outage, and little if a peer reads the table. While servers are missing, the call
+// waits no longer than the rest of their grace period. For the table of servers, a dead
+// connection must be noticed, and a response reported to peers, before rows could have lapsed
+// since the response before.
 func (f *Follower) pollTimeout() time.Duration {
 	readByPeer := f.readByPeer != nil && f.readByPeer()
 	f.mu.Lock()
--- a/version/catalog/retry.go
+++ b/version/catalog/retry.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// poll is pollOnce, which RetryNow can end during an outage and endCall at any time.
+// poll is pollOnce, which RetryNow can end during an outage and overtakeCall at any time.
 func (f *Follower) poll(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -52,25 +52,32 @@
 }
 
 // setCancelCall sets the function that ends the call in flight, which has no response yet. It
-// reports whether endCall ended the call before.
+// reports whether the call before was ended because it was overtaken.
 func (f *Follower) setCancelCall(cancel context.CancelFunc) (ended bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ended = f.callEnded
-	f.cancelCall, f.callEnded, f.respondingSince = cancel, false, time.Time{}
+	f.cancelCall, f.callOvertaken, f.callEnded, f.respondingSince = cancel, false, false, time.Time{}
 	return ended
 }
 
-// endCall ends the call in flight, because a peer has delivered the large values that its
-// response is about to bring. The caller must hold f.mu.
-func (f *Follower) endCall() {
-	if f.cancelCall != nil {
-		if f.respondingSince.After(f.lastResponseAt) {
-			f.lastResponseAt = f.respondingSince
-		}
-		f.callEnded = true
-		f.cancelCall()
+// overtakeCall ends the call in flight as soon as its response has begun, because a peer has
+// delivered the large values that it brings. A call without a response goes on, so that an
+// outage of the store is noticed. The caller must hold f.mu.
+func (f *Follower) overtakeCall() {
+	f.callOvertaken = f.cancelCall != nil
+	f.endOvertakenCall()
+}
+
+// endOvertakenCall ends the call in flight if it is overtaken and its response has begun. The
+// caller must hold f.mu.
+func (f *Follower) endOvertakenCall() {
+	if !f.callOvertaken || f.respondingSince.IsZero() {
+		return
 	}
+	f.lastResponseAt = f.respondingSince
+	f.callEnded = true
+	f.cancelCall()
 }
 
 // pauseBeforeRetry waits for delay with jitter, counted from the begin of the failed call, for
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -141,7 +141,7 @@
 	f.applyRowsLocked(rows, c.Until, cmp.Or(c.From, "peer"))
 	f.sharedUntil = max(f.sharedUntil, c.Until)
 	if slices.ContainsFunc(c.Rows, func(r Row) bool { return len(r.Patches) > 0 }) {
-		f.endCall()
+		f.overtakeCall()
 	}
 }
 
