One compressed value of a row is kept, also without patches

While changes arrive without patches, as from an earlier build in a rolling update, each revision that a peer requested left its compressed value, 0.1 to 0.2 MB, in memory for good.

TestCompressedValuesThatAreKept fails before: 5 values, 1 wanted.

--- a/version/catalog/condense.go
+++ b/version/catalog/condense.go
@@ -289,7 +289,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.era == era && f.rows[r.Key].Revision == r.Revision {
-		f.patches[r.Key] = append(f.patches[r.Key], patchStep{to: r.Revision, patches: patches})
+		older := slices.DeleteFunc(f.patches[r.Key], func(s patchStep) bool { return s.from == 0 })
+		f.patches[r.Key] = append(older, patchStep{to: r.Revision, patches: patches})
 	}
 	return patches
 }
--- a/version/catalog/relayed_test.go
+++ b/version/catalog/relayed_test.go
@@ -84,3 +84,16 @@
 		So(shared[0].Rows, ShouldResemble, []Row{newRow("out/zone", "", 12)})
 	})
 }
+
+// Guards against compressed values that are kept for each revision while changes arrive without
+// patches, as from an earlier build.
+func TestCompressedValuesThatAreKept(t *testing.T) {
+	Convey("Only the newest compressed value of a row is kept", t, func() {
+		f, _ := newLargeFollower()
+		for rev := range uint64(5) {
+			f.ApplyFromPeer(RowChanges{Rows: []Row{largeConfig(int(rev)+2, rev+6)}, Since: rev + 5, Until: rev + 6})
+			So(f.ContentSince(nil, 0).Rows[0].Patches, ShouldHaveLength, 1)
+		}
+		So(f.patches["config"], ShouldHaveLength, 1)
+	})
+}
