Checks of the store by entry instances that rely on a reader are spread

Cause: instances that start together ask the store every 8 s, at the same moment, whether they have missed a change. The change came while 20 of them asked, and the store sent it to all: in the log, reads of the declarations that had begun at 68.5 s end after 0.75 s without a response or with a part of it.

Change: the time between two such calls is 7 to 8 s at random. The number of calls grows by a fifteenth.

TestChecksOfTheStoreAreSpread fails before: 24 of 24 Followers within 0.1 s.

--- a/version/catalog/condense_test.go
+++ b/version/catalog/condense_test.go
@@ -25,6 +25,8 @@
 	waits []time.Duration
 	// beginAfter is the time until the response to a call that gets none begins; 0 means never.
 	beginAfter time.Duration
+	// onCall is called for each ChangesSince; nil for nothing.
+	onCall func()
 }
 
 func (s *largeSource) ChangesSince(ctx context.Context, t Table, since uint64, wait time.Duration) ([]Row, Position, error) {
@@ -32,6 +34,9 @@
 	s.waits = append(s.waits, wait)
 	begin := s.beginAfter > 0
 	s.mu.Unlock()
+	if s.onCall != nil {
+		s.onCall()
+	}
 	if begin {
 		select {
 		case <-time.After(s.beginAfter):
@@ -247,3 +252,41 @@
 		So(source.waits, ShouldResemble, []time.Duration{checkPollTimeout, longPollTimeout})
 	})
 }
+
+// Guards against entry instances that all ask the store at the same moment whether they have
+// missed a change: if there is one then, the store sends it to all of them.
+func TestChecksOfTheStoreAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 24
+		start := time.Now()
+		var mu sync.Mutex
+		calls := map[time.Duration]int{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for range count {
+			f, source := newLargeFollower()
+			source.onCall = func() {
+				mu.Lock()
+				defer mu.Unlock()
+				calls[time.Since(start).Truncate(100*time.Millisecond)]++
+			}
+			for range 100 {
+				source.responses = append(source.responses, response{rev: 5})
+			}
+			f.Share(func() bool { return true }, func(RowChanges) {})
+			running.Go(func() { _ = f.Run(ctx) })
+		}
+		<-time.After(2 * time.Minute)
+		cancel()
+		running.Wait()
+		most, all := 0, 0
+		for at, n := range calls {
+			if at > time.Minute {
+				most, all = max(most, n), all+n
+			}
+		}
+		if most > count/2 || all < count*int(time.Minute/maxUnreadPeriod) {
+			t.Errorf("%d calls within a minute, %d of %d Followers in 0.1 s", all, most, count)
+		}
+	})
+}
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -54,7 +55,8 @@
 	if f.readByPeer == nil {
 		return
 	}
-	end := f.clock.Now().Add(maxUnreadPeriod)
+	// Without a random part, instances that start together would call the store together.
+	end := f.clock.Now().Add(maxUnreadPeriod*7/8 + rand.N(maxUnreadPeriod/8))
 	defer f.setIdle(false)
 	for f.readByPeer() && f.clock.Now().Before(end) && f.setIdle(true) {
 		select {
