--- a/version/catalog/condense.go
+++ b/version/catalog/condense.go
@@ -85,6 +85,11 @@
 	return !r.Deleted && r.Value == nil && (r.Base > 0 || len(r.Patches) > 0)
 }
 
+// hasPatches reports whether a row has patches.
+func hasPatches(rows []Row) bool {
+	return slices.ContainsFunc(rows, func(r Row) bool { return len(r.Patches) > 0 })
+}
+
 // WithoutValue returns r without its value if it has patches.
 func (r Row) WithoutValue() Row {
 	if len(r.Patches) > 0 {
--- a/version/catalog/content.go
+++ b/version/catalog/content.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -74,7 +73,7 @@
 	}
 	changes := f.changesTo(content, received)
 	f.replaceContentLocked(content, cmp.Or(from, "peer"))
-	if slices.ContainsFunc(received, func(r Row) bool { return len(r.Patches) > 0 }) {
+	if hasPatches(received) {
 		f.overtakeCall()
 	}
 	return changes, nil
--- a/version/catalog/sharing.go
+++ b/version/catalog/sharing.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rattanway/rattanway/process/eventlog"
@@ -113,8 +112,9 @@
 // ApplyFromPeer applies changes that a peer has read from the store. The grace period after
 // an outage holds here too, unless the store responded to others meanwhile. If changes
 // before them are missing here, or the values that their patches change, or if they are of a
-// newer era of the store, it applies nothing and makes the Follower read the store. It also does that if they name no era,
-// because they come from an earlier build. Changes of an older era are ignored.
+// newer era of the store, it applies nothing and makes the Follower read the store. It also
+// does that if they name no era, because they come from an earlier build. Changes of an older
+// era are ignored.
 func (f *Follower) ApplyFromPeer(c RowChanges) {
 	f.mu.Lock()
 	if c.Era != f.era || f.readRevision < c.Since {
@@ -142,7 +142,7 @@
 	}
 	f.applyRowsLocked(rows, c.Until, cmp.Or(c.From, "peer"))
 	f.sharedUntil = max(f.sharedUntil, c.Until)
-	if slices.ContainsFunc(c.Rows, func(r Row) bool { return len(r.Patches) > 0 }) {
+	if hasPatches(c.Rows) {
 		f.overtakeCall()
 	}
 }
